Lay out the workspace, schemas, settings checks and HTTP server

Cause: the project starts empty and several modules are written at the same time, so their interfaces must exist first. Change: design page, message and settings schemas with generated types, result codes, settings checks that report every error with its line, a bounded HTTP server on hyper, the platform client, and the types that modules share.

--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,1 @@
+//! Operator commands.
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,1 @@
+//! Caller and operator interfaces.
--- /dev/null
+++ b/src/http_server/body.rs
@@ -0,0 +1,186 @@
+//! Bodies of answers: whole, or sent piece by piece with a bound on what waits for the reader.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use hyper::body::{Body, Bytes, Frame, SizeHint};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+use crate::prelude::*;
+
+/// Why a streamed body can take no more pieces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The caller's connection is closed.
+    ReaderGone,
+    /// The caller did not read for the time allowed.
+    ReaderSlow,
+}
+
+enum BodyPiece {
+    Data(Bytes),
+    Finish,
+}
+
+/// Sending end of a streamed body. Dropping it without [`BodySender::finish`] aborts the answer, so that the caller
+/// can tell a broken stream from a complete one.
+#[derive(Debug)]
+pub struct BodySender {
+    pieces: mpsc::Sender<BodyPiece>,
+    runtime: Handle,
+    wait: Duration,
+}
+
+impl BodySender {
+    /// Sends one piece; waits while the buffer is full.
+    ///
+    /// # Errors
+    ///
+    /// The reader is gone, or did not read within [`SLOW_READER_LIMIT`].
+    pub fn send(&self, data: Vec<u8>) -> Result<(), StreamEnd> {
+        self.send_piece(BodyPiece::Data(Bytes::from(data)))
+    }
+
+    /// Sends one piece when there is room, without waiting.
+    ///
+    /// # Errors
+    ///
+    /// The reader is gone, or the buffer is full.
+    pub fn try_send(&self, data: Vec<u8>) -> Result<(), StreamEnd> {
+        self.pieces.try_send(BodyPiece::Data(Bytes::from(data))).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => StreamEnd::ReaderSlow,
+            mpsc::error::TrySendError::Closed(_) => StreamEnd::ReaderGone,
+        })
+    }
+
+    /// Ends the body as complete.
+    ///
+    /// # Errors
+    ///
+    /// The reader is gone, or did not read within [`SLOW_READER_LIMIT`].
+    pub fn finish(self) -> Result<(), StreamEnd> {
+        self.send_piece(BodyPiece::Finish)
+    }
+
+    /// Whether the reader is gone.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.pieces.is_closed()
+    }
+
+    fn send_piece(&self, piece: BodyPiece) -> Result<(), StreamEnd> {
+        match self.pieces.try_send(piece) {
+            Ok(()) => Ok(()),
+            Err(mpsc::error::TrySendError::Closed(_)) => Err(StreamEnd::ReaderGone),
+            Err(mpsc::error::TrySendError::Full(piece)) => {
+                let send = tokio::time::timeout(self.wait, self.pieces.send(piece));
+                // The future is created inside the runtime's context, which the timer needs.
+                match self.runtime.block_on(send) {
+                    Ok(Ok(())) => Ok(()),
+                    Ok(Err(_)) => Err(StreamEnd::ReaderGone),
+                    Err(_) => Err(StreamEnd::ReaderSlow),
+                }
+            }
+        }
+    }
+}
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// All bytes at once.
+    Whole(Vec<u8>),
+    /// Pieces as they are sent by a [`BodySender`].
+    Stream(PieceReceiver),
+}
+
+impl ReplyBody {
+    /// A streamed body and its sender; to be called on a request thread.
+    ///
+    /// # Panics
+    ///
+    /// When called on a thread that does not belong to the server's runtime.
+    #[must_use]
+    pub fn streamed() -> (BodySender, Self) {
+        let (pieces, receiver) = mpsc::channel(STREAM_BUFFER);
+        let sender = BodySender { pieces, runtime: Handle::current(), wait: SLOW_READER_LIMIT };
+        (sender, Self::Stream(PieceReceiver { receiver, is_finished: false }))
+    }
+}
+
+/// Receiving end of a streamed body.
+#[derive(Debug)]
+pub struct PieceReceiver {
+    receiver: mpsc::Receiver<BodyPiece>,
+    is_finished: bool,
+}
+
+impl std::fmt::Debug for BodyPiece {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Data(data) => write!(formatter, "Data({} bytes)", data.len()),
+            Self::Finish => formatter.write_str("Finish"),
+        }
+    }
+}
+
+/// Body handed to hyper; it calls `on_end` when it is dropped.
+pub(super) struct ServerBody {
+    content: BodyContent,
+    _guard: super::connection::RequestGuard,
+}
+
+enum BodyContent {
+    Whole(Option<Bytes>),
+    Stream(PieceReceiver),
+}
+
+impl ServerBody {
+    pub(super) fn new(body: ReplyBody, guard: super::connection::RequestGuard) -> Self {
+        let content = match body {
+            ReplyBody::Whole(bytes) => BodyContent::Whole(Some(Bytes::from(bytes)).filter(|bytes| !bytes.is_empty())),
+            ReplyBody::Stream(receiver) => BodyContent::Stream(receiver),
+        };
+        Self { content, _guard: guard }
+    }
+}
+
+impl Body for ServerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match &mut self.content {
+            BodyContent::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            BodyContent::Stream(stream) if stream.is_finished => Poll::Ready(None),
+            BodyContent::Stream(stream) => match stream.receiver.poll_recv(context) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(Some(BodyPiece::Data(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
+                Poll::Ready(Some(BodyPiece::Finish)) => {
+                    stream.is_finished = true;
+                    Poll::Ready(None)
+                }
+                Poll::Ready(None) => Poll::Ready(Some(Err(io::Error::other("the answer was aborted")))),
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.content {
+            BodyContent::Whole(bytes) => bytes.is_none(),
+            BodyContent::Stream(stream) => stream.is_finished,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            BodyContent::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            BodyContent::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/http_server/connection.rs
@@ -0,0 +1,192 @@
+//! Connections of the server: accept, parse, hand to a request thread, send the answer.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, watch};
+use tokio_io_timeout::TimeoutStream;
+
+use super::body::ServerBody;
+use super::{HeaderPair, HttpReply, HttpRequest, RequestHandler, ServerCounters, ServerLimits};
+use crate::generated::caller_messages::{ErrorBody, ErrorBodyRan};
+use crate::prelude::*;
+
+/// Wait after a failed accept, such as one for lack of file descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+pub(super) struct ServerShared {
+    pub(super) handler: RequestHandler,
+    pub(super) connection_permits: Arc<Semaphore>,
+    pub(super) request_permits: Arc<Semaphore>,
+    pub(super) limits: ServerLimits,
+    pub(super) counters: Arc<ServerCounters>,
+}
+
+pub(super) async fn accept_connections(
+    listener: TcpListener,
+    shared: Arc<ServerShared>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stopped| *stopped) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&shared.connection_permits).try_acquire_owned() else {
+            shared.counters.rejected_connections.fetch_add(1, Ordering::Relaxed);
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        let stopped = stopped.clone();
+        tokio::spawn(async move {
+            shared.counters.connections.fetch_add(1, Ordering::AcqRel);
+            serve_connection(stream, &shared, stopped).await;
+            shared.counters.connections.fetch_sub(1, Ordering::AcqRel);
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection(stream: TcpStream, shared: &Arc<ServerShared>, mut stopped: watch::Receiver<bool>) {
+    let _ = stream.set_nodelay(true);
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(shared.limits.write_time));
+    let service_shared = Arc::clone(shared);
+    let service = service_fn(move |request| answer(request, Arc::clone(&service_shared)));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(shared.limits.header_time)
+        .max_buf_size(HEADER_LIMIT)
+        .keep_alive(true)
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stopped.wait_for(|stopped| *stopped) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Counts a request until its answer is sent or its connection is gone.
+pub(super) struct RequestGuard {
+    counters: Arc<ServerCounters>,
+    caller_gone: Arc<AtomicBool>,
+}
+
+impl RequestGuard {
+    fn new(counters: &Arc<ServerCounters>) -> Self {
+        counters.requests.fetch_add(1, Ordering::AcqRel);
+        Self { counters: Arc::clone(counters), caller_gone: Arc::new(AtomicBool::new(false)) }
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.caller_gone.store(true, Ordering::Release);
+        self.counters.requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+async fn answer(request: Request<Incoming>, shared: Arc<ServerShared>) -> Result<Response<ServerBody>, Infallible> {
+    let guard = RequestGuard::new(&shared.counters);
+    let reply = match read_request(request, &shared, &guard).await {
+        Ok(request) => run_handler(request, &shared).await,
+        Err(code) => refusal(code).with_header("connection", "close"),
+    };
+    Ok(into_response(reply, guard))
+}
+
+async fn run_handler(request: HttpRequest, shared: &Arc<ServerShared>) -> HttpReply {
+    let Ok(permit) = Arc::clone(&shared.request_permits).try_acquire_owned() else {
+        shared.counters.rejected_requests.fetch_add(1, Ordering::Relaxed);
+        return refusal(ResultCode::HostBusy);
+    };
+    let handler = Arc::clone(&shared.handler);
+    let task = tokio::task::spawn_blocking(move || {
+        let reply = handler(request);
+        drop(permit);
+        reply
+    });
+    task.await.unwrap_or_else(|_| refusal(ResultCode::Internal))
+}
+
+async fn read_request(
+    request: Request<Incoming>,
+    shared: &ServerShared,
+    guard: &RequestGuard,
+) -> Result<HttpRequest, ResultCode> {
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, shared.limits.body).collect();
+    let body = match tokio::time::timeout(shared.limits.body_time, body).await {
+        Ok(Ok(body)) => body.to_bytes().to_vec(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(ResultCode::TooLarge),
+        Ok(Err(_)) | Err(_) => return Err(ResultCode::BadRequest),
+    };
+    let headers = head.headers.iter().map(|(name, value)| HeaderPair {
+        name: name.as_str().to_owned(),
+        value: String::from_utf8_lossy(value.as_bytes()).into_owned(),
+    });
+    Ok(HttpRequest {
+        method: head.method.as_str().to_owned(),
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        headers: headers.collect(),
+        body,
+        caller_gone: Arc::clone(&guard.caller_gone),
+    })
+}
+
+fn refusal(code: ResultCode) -> HttpReply {
+    error_reply(code, "")
+}
+
+/// Reply that carries a result code.
+#[must_use]
+pub fn error_reply(code: ResultCode, request_id: &str) -> HttpReply {
+    let entry = code.entry();
+    let ran = match entry.ran {
+        RunState::NotRun => ErrorBodyRan::No,
+        RunState::Ran => ErrorBodyRan::Yes,
+        RunState::Unknown => ErrorBodyRan::Unknown,
+    };
+    let body = ErrorBody {
+        code: entry.number,
+        name: entry.name.to_owned(),
+        message: entry.message.to_owned(),
+        ran,
+        request_id: request_id.to_owned(),
+    };
+    let reply = HttpReply::json(entry.status, &body);
+    if matches!(entry.status, 429 | 503) { reply.with_header("retry-after", "1") } else { reply }
+}
+
+fn into_response(reply: HttpReply, guard: RequestGuard) -> Response<ServerBody> {
+    let mut builder = Response::builder().status(reply.status);
+    for pair in &reply.headers {
+        builder = builder.header(&pair.name, &pair.value);
+    }
+    let body = ServerBody::new(reply.body, guard);
+    builder.body(body).unwrap_or_else(|_| unreachable_response())
+}
+
+// Header names and values come from this program, so a response that cannot be built is a fault of the program.
+fn unreachable_response() -> Response<ServerBody> {
+    let counters = Arc::new(ServerCounters::default());
+    let body = ServerBody::new(super::ReplyBody::Whole(Vec::new()), RequestGuard::new(&counters));
+    let mut response = Response::new(body);
+    *response.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,28 @@
+//! Rollout service for reinforcement learning.
+//!
+//! `docs/design.md` describes the modules, the state they own and what happens when a part fails. In short: `control`
+//! decides what is in force and who is in charge, `gateway` takes requests, `dispatch` and `policy` decide which
+//! target runs them, `traffic` and `samples` carry them out, and `platform` and `peer` talk to the outside.
+
+pub mod admin;
+pub mod clock;
+pub mod constants;
+pub mod control;
+pub mod dispatch;
+pub mod gateway;
+pub mod generated;
+pub mod http_server;
+pub mod ids;
+pub mod logs;
+pub mod metrics;
+pub mod options;
+pub mod orders;
+pub mod peer;
+pub mod platform;
+pub mod policy;
+pub mod prelude;
+pub mod report;
+pub mod result_code;
+pub mod samples;
+pub mod traffic;
+pub mod usage;
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,84 @@
+//! Event lines in key=value form.
+//!
+//! The message of a log record is the name of the event; its key-value pairs follow in the order given. Values with
+//! spaces, quotes or control characters are quoted, so that one event is always one line.
+
+use std::fmt::Write as _;
+
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use log4rs::Config;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Root};
+use log4rs::encode::{Encode, Write};
+use time::OffsetDateTime;
+use time::format_description::well_known::Rfc3339;
+
+/// Encodes a record as one line of key=value pairs.
+#[derive(Debug)]
+pub struct EventEncoder {
+    host: String,
+}
+
+impl EventEncoder {
+    /// Encoder that names this host in every line.
+    #[must_use]
+    pub fn new(host: &str) -> Self {
+        Self { host: host.to_owned() }
+    }
+
+    /// Formats one record, without a line end.
+    #[must_use]
+    pub fn format(&self, record: &Record<'_>, now: OffsetDateTime) -> String {
+        let mut line = String::with_capacity(160);
+        let time = now.format(&Rfc3339).unwrap_or_default();
+        let level = record.level().as_str().to_ascii_lowercase();
+        let _ = write!(line, "time={time} level={level} host={} event=", self.host);
+        push_value(&mut line, &record.args().to_string());
+        let mut visitor = PairVisitor { line: &mut line };
+        let _ = record.key_values().visit(&mut visitor);
+        line
+    }
+}
+
+impl Encode for EventEncoder {
+    fn encode(&self, writer: &mut dyn Write, record: &Record<'_>) -> anyhow::Result<()> {
+        let line = self.format(record, OffsetDateTime::now_utc());
+        writeln!(writer, "{line}")?;
+        Ok(())
+    }
+}
+
+struct PairVisitor<'a> {
+    line: &'a mut String,
+}
+
+impl<'kvs> VisitSource<'kvs> for PairVisitor<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let _ = write!(self.line, " {key}=");
+        push_value(self.line, &value.to_string());
+        Ok(())
+    }
+}
+
+fn push_value(line: &mut String, value: &str) {
+    let is_plain =
+        !value.is_empty() && value.chars().all(|c| !c.is_whitespace() && !c.is_control() && c != '"' && c != '=');
+    if is_plain {
+        line.push_str(value);
+    } else {
+        let _ = write!(line, "{value:?}");
+    }
+}
+
+/// Starts logging to standard error.
+pub fn start_logs(host: &str, level: LevelFilter) {
+    let appender = ConsoleAppender::builder().target(Target::Stderr).encoder(Box::new(EventEncoder::new(host))).build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("stderr", Box::new(appender)))
+        .build(Root::builder().appender("stderr").build(level));
+    if let Ok(config) = config {
+        // A second start, as in tests, keeps the first configuration.
+        let _ = log4rs::init_config(config);
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry of the `camphorspring` binary.
+
+fn main() {}
--- /dev/null
+++ b/src/options/arguments.rs
@@ -0,0 +1,1 @@
+//! Command line.
--- /dev/null
+++ b/src/options/process_settings.rs
@@ -0,0 +1,47 @@
+//! Settings of one host process.
+
+use std::fs;
+use std::path::Path;
+
+use serde_json::Value;
+
+use crate::generated::process_settings::ProcessSettings;
+use crate::options::schema_check::{TextError, check_text};
+
+const SCHEMA: &str = include_str!("../../schema/process_settings.json");
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// All errors of the file; a file that cannot be read is one error at line 1.
+pub fn load_settings(path: &Path) -> Result<ProcessSettings, Vec<TextError>> {
+    let text = fs::read_to_string(path).map_err(|error| {
+        vec![TextError {
+            line: 1,
+            field: path.display().to_string(),
+            found: error.to_string(),
+            allowed: "a readable file".to_owned(),
+        }]
+    })?;
+    parse_settings(&text)
+}
+
+/// Parses and checks a settings text.
+///
+/// # Errors
+///
+/// All errors of the text.
+pub fn parse_settings(text: &str) -> Result<ProcessSettings, Vec<TextError>> {
+    let schema: Value = serde_json::from_str(SCHEMA).unwrap_or_default();
+    check_text(text, &schema)?;
+    serde_yaml_ng::from_str(text).map_err(|error| {
+        let line = error.location().map_or(1, |location| location.line());
+        vec![TextError {
+            line,
+            field: "(text)".to_owned(),
+            found: error.to_string(),
+            allowed: "a settings text".to_owned(),
+        }]
+    })
+}
--- /dev/null
+++ b/src/orders.rs
@@ -0,0 +1,1 @@
+//! Target orders by failure domain.
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,260 @@
+//! Client of the platform: table service, object store, host list, target orders and usage intake.
+//!
+//! Every call has a deadline. A fault says whether the action may have taken effect: a write whose answer was lost
+//! is told from one that failed by the writer token of the row.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+
+use crate::generated::platform_messages::{
+    HostList, OrderAnswer, RowCheck, RowWrite, ScanAnswer, TableRow, TargetOrder, TransactionAnswer, TransactionRequest,
+};
+use crate::prelude::*;
+
+/// Why a platform call gave no result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlatformFault {
+    /// No connection was made, so the action did not take effect.
+    NotSent,
+    /// The request was sent and no answer came: the action may have taken effect, or may still do so.
+    AnswerLost,
+    /// The platform refused with this HTTP status; the action did not take effect.
+    Refused(u16),
+    /// The answer could not be read.
+    Malformed,
+}
+
+impl std::fmt::Display for PlatformFault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotSent => formatter.write_str("no connection to the platform"),
+            Self::AnswerLost => formatter.write_str("no answer from the platform"),
+            Self::Refused(status) => write!(formatter, "the platform refused with status {status}"),
+            Self::Malformed => formatter.write_str("the platform's answer cannot be read"),
+        }
+    }
+}
+
+impl std::error::Error for PlatformFault {}
+
+/// Client of the platform's interfaces.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    base_url: String,
+    agent: Agent,
+}
+
+impl PlatformClient {
+    /// Client of the platform at `base_url`, such as `http://127.0.0.1:7000`.
+    #[must_use]
+    pub fn new(base_url: &str) -> Self {
+        let agent = http_agent(CONNECT_LIMIT, PLATFORM_LIMIT);
+        Self { base_url: base_url.trim_end_matches('/').to_owned(), agent }
+    }
+
+    /// Reads one row; `None` when it is absent.
+    ///
+    /// # Errors
+    ///
+    /// The platform gave no result.
+    pub fn read_row(&self, table: &str, key: &str) -> Result<Option<TableRow>, PlatformFault> {
+        match self.get_json(&format!("/table/{table}/{}", encode_key(key))) {
+            Ok(row) => Ok(Some(row)),
+            Err(PlatformFault::Refused(404)) => Ok(None),
+            Err(fault) => Err(fault),
+        }
+    }
+
+    /// Reads at most `limit` rows with keys that start with `prefix` and are greater than `after`, in key order.
+    ///
+    /// # Errors
+    ///
+    /// The platform gave no result.
+    pub fn scan_rows(
+        &self,
+        table: &str,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<TableRow>, PlatformFault> {
+        let path = format!("/table/{table}?prefix={}&after={}&limit={limit}", encode_key(prefix), encode_key(after));
+        let answer: ScanAnswer = self.get_json(&path)?;
+        Ok(answer.rows)
+    }
+
+    /// Applies all writes if all checks hold.
+    ///
+    /// # Errors
+    ///
+    /// The platform gave no result; after [`PlatformFault::AnswerLost`] the writes may have taken effect.
+    pub fn transact(
+        &self,
+        writer_token: &str,
+        checks: Vec<RowCheck>,
+        writes: Vec<RowWrite>,
+    ) -> Result<TransactionAnswer, PlatformFault> {
+        let request = TransactionRequest { writer_token: writer_token.to_owned(), checks, writes };
+        self.post_json("/table/transact", &request)
+    }
+
+    /// Stores an object; an object that exists already is left as it is.
+    ///
+    /// # Errors
+    ///
+    /// The platform gave no result.
+    pub fn put_object(&self, key: &str, content: &[u8]) -> Result<(), PlatformFault> {
+        let request = self.agent.put(self.url(&format!("/objects/{}", encode_key(key)))).header("if-none-match", "*");
+        let response = request.send(content).map_err(|error| fault_of(&error))?;
+        match response.status().as_u16() {
+            200..=299 | 412 => Ok(()),
+            status => Err(PlatformFault::Refused(status)),
+        }
+    }
+
+    /// Reads an object; `None` when it is absent.
+    ///
+    /// # Errors
+    ///
+    /// The platform gave no result.
+    pub fn get_object(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformFault> {
+        let path = format!("/objects/{}", encode_key(key));
+        let mut response = self.agent.get(self.url(&path)).call().map_err(|error| fault_of(&error))?;
+        match response.status().as_u16() {
+            200 => response
+                .body_mut()
+                .with_config()
+                .limit(OBJECT_LIMIT)
+                .read_to_vec()
+                .map(Some)
+                .map_err(|_| PlatformFault::AnswerLost),
+            404 => Ok(None),
+            status => Err(PlatformFault::Refused(status)),
+        }
+    }
+
+    /// Reads the host list, which lags.
+    ///
+    /// # Errors
+    ///
+    /// The platform gave no result.
+    pub fn list_hosts(&self) -> Result<HostList, PlatformFault> {
+        self.get_json("/hosts")
+    }
+
+    /// Gives a target order.
+    ///
+    /// # Errors
+    ///
+    /// The platform gave no result; after [`PlatformFault::AnswerLost`] the order may have taken effect.
+    pub fn order_targets(&self, order: &TargetOrder) -> Result<OrderAnswer, PlatformFault> {
+        self.post_json("/targets/orders", order)
+    }
+
+    /// Hands in a usage report, as the bytes that were frozen.
+    ///
+    /// # Errors
+    ///
+    /// The platform gave no result; the same bytes may be sent again.
+    pub fn report_usage(&self, report: &[u8]) -> Result<(), PlatformFault> {
+        let request = self.agent.post(self.url("/usage/reports")).content_type("application/json");
+        let response = request.send(report).map_err(|error| fault_of(&error))?;
+        match response.status().as_u16() {
+            200..=299 => Ok(()),
+            status => Err(PlatformFault::Refused(status)),
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.base_url)
+    }
+
+    fn get_json<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformFault> {
+        let mut response = self.agent.get(self.url(path)).call().map_err(|error| fault_of(&error))?;
+        read_answer(&mut response)
+    }
+
+    fn post_json<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T, PlatformFault> {
+        let mut response = self.agent.post(self.url(path)).send_json(body).map_err(|error| fault_of(&error))?;
+        read_answer(&mut response)
+    }
+}
+
+/// Largest object that is read, in bytes.
+const OBJECT_LIMIT: u64 = 64 * 1024 * 1024;
+
+/// HTTP client with a time limit on connecting and on a whole call, which leaves statuses to its caller.
+#[must_use]
+pub fn http_agent(connect_limit: Duration, call_limit: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_connect(Some(connect_limit))
+        .timeout_global(Some(call_limit))
+        .max_redirects(0)
+        .proxy(None)
+        .build();
+    config.into()
+}
+
+/// Tells a request that certainly was not sent from one whose answer was lost.
+#[must_use]
+pub fn fault_of(error: &ureq::Error) -> PlatformFault {
+    match error {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::BadUri(_)
+        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => PlatformFault::NotSent,
+        ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => PlatformFault::NotSent,
+        _ => PlatformFault::AnswerLost,
+    }
+}
+
+fn read_answer<T: DeserializeOwned>(response: &mut ureq::http::Response<ureq::Body>) -> Result<T, PlatformFault> {
+    match response.status().as_u16() {
+        200..=299 => {
+            let bytes = response
+                .body_mut()
+                .with_config()
+                .limit(OBJECT_LIMIT)
+                .read_to_vec()
+                .map_err(|_| PlatformFault::AnswerLost)?;
+            serde_json::from_slice(&bytes).map_err(|_| PlatformFault::Malformed)
+        }
+        status => Err(PlatformFault::Refused(status)),
+    }
+}
+
+/// Percent-encodes a key for use in a path segment or query value.
+#[must_use]
+pub fn encode_key(key: &str) -> String {
+    let mut encoded = String::with_capacity(key.len());
+    for byte in key.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => encoded.push(char::from(byte)),
+            _ => {
+                use std::fmt::Write as _;
+                let _ = write!(encoded, "%{byte:02X}");
+            }
+        }
+    }
+    encoded
+}
+
+/// Reverses [`encode_key`]; malformed sequences are kept as they are.
+#[must_use]
+pub fn decode_key(encoded: &str) -> String {
+    let bytes = encoded.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut index = 0;
+    while index < bytes.len() {
+        let hex = (bytes[index] == b'%').then(|| encoded.get(index + 1..index + 3)).flatten();
+        if let Some(byte) = hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
+            decoded.push(byte);
+            index += 3;
+        } else {
+            decoded.push(bytes[index]);
+            index += 1;
+        }
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,1 @@
+//! Pure decisions about load: queues, choice of target, limits, retries.
--- /dev/null
+++ b/src/prelude.rs
@@ -0,0 +1,9 @@
+//! Common types, imported by most modules.
+
+pub use std::sync::Arc;
+pub use std::time::Duration;
+
+pub use crate::clock::{BootTime, boot_time};
+pub use crate::constants::*;
+pub use crate::ids::*;
+pub use crate::result_code::{ResultCode, RunState};
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,1 @@
+//! Service-level burn report.
--- /dev/null
+++ b/src/samples.rs
@@ -0,0 +1,1 @@
+//! Steps of trainers: samples generated, graded, recorded and delivered once; release of weights.
--- /dev/null
+++ b/src/usage.rs
@@ -0,0 +1,21 @@
+//! Usage: increments from finished requests, windows, and reports to the platform.
+
+use crate::prelude::*;
+
+/// Usage of one finished request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsageEvent {
+    /// Organisation that is charged; empty on open routes.
+    pub organisation: OrganisationId,
+    /// Service.
+    pub service: ServiceId,
+    /// Requests; 0 for a retry that the organisation is not charged for.
+    pub requests: u64,
+    /// Tokens produced.
+    pub tokens: u64,
+    /// Target time used.
+    pub target_time: Duration,
+}
+
+/// Function that records usage; it does not block.
+pub type UsageSink = Arc<dyn Fn(UsageEvent) + Send + Sync>;
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines and services around the product.
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry of the stand-ins.
+
+fn main() {}
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests by topic.
+
+mod settings;
