Add the type of functions that send frames to peers

Cause: dispatch, usage and traffic send frames before the links exist. Change: one type alias; tests of the product may start stand-ins in their own process.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -15,3 +15,7 @@
     /// IP address and port of its peer listener.
     pub address: String,
 }
+
+/// Function that queues a frame for a host; it does not block, and returns whether the host is known and its queue
+/// has room. A queued frame may still be lost, so every exchange must tolerate loss and repetition.
+pub type FrameSender = Arc<dyn Fn(&str, PeerFrame) -> bool + Send + Sync>;
