Add the command line, operator routes, burn report and tests of the HTTP bounds

Cause: operators need commands with exit statuses and machine-readable output, and the server's bounds were untested. Change: xflags commands, operator routes with functions passed in, burn counts by minute merged over hosts, result code page compared with the code, and tests with slow, silent, oversized and malformed callers. Conclusion: a caller that stops reading is dropped and holds no thread.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,1 +1,7 @@
-//! Operator commands.
+//! Operator commands of the command line.
+
+pub mod client;
+pub mod commands;
+pub mod output;
+
+pub use commands::run_command;
--- /dev/null
+++ b/src/admin/commands.rs
@@ -0,0 +1,289 @@
+//! One function for each operator command.
+
+use std::env;
+use std::fs;
+use std::path::Path;
+
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use super::client::{CommandFault, OperatorAnswer, OperatorClient};
+use super::output;
+use crate::generated::caller_messages::{
+    ApplyAnswer, ApplyRequest, BurnAnswer, GrantAnswer, GrantRequest, PlacementRequest, RefusalList, StatusAnswer,
+    WithdrawAnswer,
+};
+use crate::generated::platform_messages::UsageFigure;
+use crate::options::arguments::{
+    Apply, Burn, Camphorspring, CamphorspringCmd, KeysCmd, PlacementAction, Refusals, ReportCmd,
+};
+use crate::options::process_settings::load_settings;
+use crate::options::schema_check::TextError;
+use crate::options::services_text::parse_services;
+use crate::prelude::*;
+use crate::report::{burn_plot, burn_report};
+use crate::result_code::ALL_CODES;
+
+/// What a command printed, and its result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommandOutput {
+    /// Text for standard output.
+    pub text: String,
+    /// Result code, which gives the exit status.
+    pub code: ResultCode,
+}
+
+type CommandResult = Result<CommandOutput, CommandFault>;
+
+/// Runs any command except `serve`.
+///
+/// # Errors
+///
+/// The command failed; the fault has its result code and message.
+pub fn run_command(arguments: &Camphorspring) -> CommandResult {
+    match &arguments.subcommand {
+        CamphorspringCmd::Serve(_) => Err(CommandFault::of(ResultCode::Usage)),
+        CamphorspringCmd::Check(command) => check_services(arguments, &command.file),
+        CamphorspringCmd::CheckSettings(command) => check_settings(arguments, &command.file),
+        CamphorspringCmd::Codes(_) => Ok(list_codes(arguments)),
+        CamphorspringCmd::Apply(command) => apply_text(arguments, command),
+        CamphorspringCmd::Show(_) => show_configuration(arguments),
+        CamphorspringCmd::Keys(command) => run_keys(arguments, &command.subcommand),
+        CamphorspringCmd::Domain(command) => place(arguments, "/operator/domains", command.action, &command.name),
+        CamphorspringCmd::Target(command) => place(arguments, "/operator/targets", command.action, &command.name),
+        CamphorspringCmd::Hosts(_) | CamphorspringCmd::Nodes(_) => show_hosts(arguments),
+        CamphorspringCmd::Targets(_) => show_targets(arguments),
+        CamphorspringCmd::Leases(_) => show_leases(arguments),
+        CamphorspringCmd::Refusals(command) => show_refusals(arguments, command),
+        CamphorspringCmd::Usage(command) => show_usage(arguments, command.window),
+        CamphorspringCmd::Report(command) => match &command.subcommand {
+            ReportCmd::Burn(command) => report_burn(arguments, command),
+        },
+    }
+}
+
+fn client(arguments: &Camphorspring) -> Result<OperatorClient, CommandFault> {
+    let host = arguments.host.clone().or_else(|| env::var("CAMPHORSPRING_HOST").ok());
+    let token = arguments.token.clone().or_else(|| env::var("CAMPHORSPRING_TOKEN").ok());
+    match (host, token) {
+        (Some(host), Some(token)) => Ok(OperatorClient::new(&host, &token)),
+        _ => Err(CommandFault {
+            code: ResultCode::Usage,
+            message: "--host and --token, or CAMPHORSPRING_HOST and CAMPHORSPRING_TOKEN, are needed".to_owned(),
+        }),
+    }
+}
+
+// Prints `value` when JSON was asked for, and otherwise the text.
+fn output(arguments: &Camphorspring, value: &impl Serialize, text: String) -> CommandOutput {
+    output_with(arguments, value, text, ResultCode::Done)
+}
+
+fn output_with(arguments: &Camphorspring, value: &impl Serialize, text: String, code: ResultCode) -> CommandOutput {
+    let text = if arguments.json {
+        let mut text = serde_json::to_string_pretty(value).unwrap_or_default();
+        text.push('\n');
+        text
+    } else {
+        text
+    };
+    CommandOutput { text, code }
+}
+
+fn read_file(path: &Path) -> Result<String, CommandFault> {
+    fs::read_to_string(path)
+        .map_err(|error| CommandFault { code: ResultCode::Usage, message: format!("{}: {error}", path.display()) })
+}
+
+fn text_fault(code: ResultCode, file: &Path, errors: &[TextError]) -> CommandFault {
+    let lines: Vec<String> = errors.iter().map(|error| format!("{}: {error}", file.display())).collect();
+    CommandFault { code, message: lines.join("\n") }
+}
+
+fn check_services(arguments: &Camphorspring, file: &Path) -> CommandResult {
+    let text = read_file(file)?;
+    let services = parse_services(&text).map_err(|errors| text_fault(ResultCode::TextInvalid, file, &errors))?;
+    let counts = json!({
+        "services": services.services.len(), "routes": services.routes.len(),
+        "organisations": services.organisations.len(), "targets": services.targets.len(),
+    });
+    let text = format!(
+        "ok: {} services, {} routes, {} organisations, {} targets\n",
+        services.services.len(),
+        services.routes.len(),
+        services.organisations.len(),
+        services.targets.len()
+    );
+    Ok(output(arguments, &counts, text))
+}
+
+fn check_settings(arguments: &Camphorspring, file: &Path) -> CommandResult {
+    let settings = load_settings(file).map_err(|errors| text_fault(ResultCode::SettingsInvalid, file, &errors))?;
+    let text = format!("ok: host {} in failure domain {}\n", settings.host, settings.failure_domain);
+    Ok(output(arguments, &json!({ "host": settings.host, "failure_domain": settings.failure_domain }), text))
+}
+
+fn list_codes(arguments: &Camphorspring) -> CommandOutput {
+    let entries: Vec<Value> = ALL_CODES.iter().map(|code| code_value(*code)).collect();
+    let rows: Vec<Vec<String>> = ALL_CODES.iter().map(|code| code_row(*code)).collect();
+    let text = output::text_table(&["CODE", "NAME", "HTTP", "EXIT", "RAN", "MEANING"], &rows);
+    output(arguments, &entries, text)
+}
+
+fn code_value(code: ResultCode) -> Value {
+    let entry = code.entry();
+    json!({
+        "code": entry.number, "name": entry.name, "status": entry.status, "exit": entry.exit,
+        "ran": entry.ran.name(), "message": entry.message,
+    })
+}
+
+fn code_row(code: ResultCode) -> Vec<String> {
+    let entry = code.entry();
+    vec![
+        entry.number.to_string(),
+        entry.name.to_owned(),
+        entry.status.to_string(),
+        entry.exit.to_string(),
+        entry.ran.name().to_owned(),
+        entry.message.to_owned(),
+    ]
+}
+
+fn apply_text(arguments: &Camphorspring, command: &Apply) -> CommandResult {
+    let text = read_file(&command.file)?;
+    parse_services(&text).map_err(|errors| text_fault(ResultCode::TextInvalid, &command.file, &errors))?;
+    let request = ApplyRequest { text, expect_version: command.expect };
+    let answer: ApplyAnswer = client(arguments)?.post("/operator/apply", &request)?.body;
+    let text = format!("version {} in force, {} items changed\n", answer.version, answer.changed_items);
+    Ok(output(arguments, &answer, text))
+}
+
+fn show_configuration(arguments: &Camphorspring) -> CommandResult {
+    let answer: Value = client(arguments)?.get("/operator/configuration")?.body;
+    let text = serde_yaml_ng::to_string(&answer).unwrap_or_default();
+    Ok(output(arguments, &answer, text))
+}
+
+fn run_keys(arguments: &Camphorspring, command: &KeysCmd) -> CommandResult {
+    match command {
+        KeysCmd::Grant(command) => {
+            let request = GrantRequest { organisation: command.organisation.clone() };
+            let answer: GrantAnswer = client(arguments)?.post("/operator/keys", &request)?.body;
+            let text = format!("key id {}\nkey {} (shown once)\n", answer.key_id, answer.key);
+            Ok(output(arguments, &answer, text))
+        }
+        KeysCmd::Withdraw(command) => withdraw_key(arguments, &command.key_id),
+        KeysCmd::List(_) => list_keys(arguments),
+    }
+}
+
+fn withdraw_key(arguments: &Camphorspring, key_id: &str) -> CommandResult {
+    let path = format!("/operator/keys/{}/withdraw", crate::platform::encode_key(key_id));
+    let answer: OperatorAnswer<WithdrawAnswer> = client(arguments)?.post(&path, &json!({}))?;
+    let body = answer.body;
+    let (code, text) = if body.stored && body.unconfirmed_domains.is_empty() {
+        (ResultCode::Done, format!("key {} withdrawn in all failure domains\n", body.key_id))
+    } else {
+        let stored = if body.stored { "stored" } else { "not stored yet" };
+        let domains = body.unconfirmed_domains.join(", ");
+        let text = format!("key {} withdrawn here, {stored}; not confirmed by: {domains}\n", body.key_id);
+        (ResultCode::Unconfirmed, text)
+    };
+    Ok(output_with(arguments, &body, text, code))
+}
+
+fn list_keys(arguments: &Camphorspring) -> CommandResult {
+    let answer: Value = client(arguments)?.get("/operator/configuration")?.body;
+    let keys = answer["keys"].as_array().cloned().unwrap_or_default();
+    let rows: Vec<Vec<String>> = keys.iter().map(key_row).collect();
+    let text = output::text_table(&["KEY", "ORGANISATION", "STATE"], &rows);
+    Ok(output(arguments, &keys, text))
+}
+
+fn key_row(key: &Value) -> Vec<String> {
+    let state = if key["withdrawn"] == true { "withdrawn" } else { "granted" };
+    let text = |field: &str| key[field].as_str().unwrap_or_default().to_owned();
+    vec![text("key_id"), text("organisation"), state.to_owned()]
+}
+
+fn place(arguments: &Camphorspring, path: &str, action: PlacementAction, name: &str) -> CommandResult {
+    let request = PlacementRequest { name: name.to_owned(), out: action == PlacementAction::Out };
+    let answer: ApplyAnswer = client(arguments)?.post(path, &request)?.body;
+    let placement = if request.out { "out" } else { "in" };
+    let text = format!("{name} is {placement} since version {}\n", answer.version);
+    Ok(output(arguments, &answer, text))
+}
+
+fn status(arguments: &Camphorspring) -> Result<StatusAnswer, CommandFault> {
+    Ok(client(arguments)?.get("/operator/status")?.body)
+}
+
+fn show_hosts(arguments: &Camphorspring) -> CommandResult {
+    let status = status(arguments)?;
+    let mut text = format!(
+        "asked {} in {}: configuration version {}, view age {} ms, ready {}\n",
+        status.host, status.failure_domain, status.configuration_version, status.view_age_ms, status.ready
+    );
+    text.push_str(&output::host_table(&status.hosts));
+    Ok(output(arguments, &status.hosts, text))
+}
+
+fn show_targets(arguments: &Camphorspring) -> CommandResult {
+    let status = status(arguments)?;
+    Ok(output(arguments, &status.targets, output::target_table(&status.targets)))
+}
+
+fn show_leases(arguments: &Camphorspring) -> CommandResult {
+    let status = status(arguments)?;
+    let rows: Vec<Vec<String>> = status.resources.iter().map(|name| vec![name.clone(), status.host.clone()]).collect();
+    Ok(output(arguments, &status.resources, output::text_table(&["RESOURCE", "OWNER"], &rows)))
+}
+
+fn show_refusals(arguments: &Camphorspring, command: &Refusals) -> CommandResult {
+    let mut list: RefusalList = client(arguments)?.get("/operator/refusals")?.body;
+    if let Some(request_id) = &command.request {
+        list.refusals.retain(|refusal| refusal.request_id == *request_id);
+    }
+    Ok(output(arguments, &list.refusals, output::refusal_table(&list.refusals)))
+}
+
+fn show_usage(arguments: &Camphorspring, window: u64) -> CommandResult {
+    let figures: Vec<UsageFigure> = client(arguments)?.get(&format!("/operator/usage/{window}"))?.body;
+    Ok(output(arguments, &figures, output::usage_table(&figures)))
+}
+
+fn report_burn(arguments: &Camphorspring, command: &Burn) -> CommandResult {
+    let asked = client(arguments)?;
+    let status: StatusAnswer = asked.get("/operator/status")?.body;
+    let token = arguments.token.clone().or_else(|| env::var("CAMPHORSPRING_TOKEN").ok()).unwrap_or_default();
+    let mut answers: Vec<BurnAnswer> = Vec::new();
+    let mut silent: Vec<HostId> = Vec::new();
+    for host in &status.hosts {
+        match host_burn(&asked, &status.host, host, &token) {
+            Ok(answer) => answers.push(answer),
+            Err(_) => silent.push(host.host.clone()),
+        }
+    }
+    let report = burn_report::merge_burn(&answers, silent);
+    if let Some(file) = &command.plot {
+        burn_plot::write_plot(&report, file).map_err(|message| CommandFault { code: ResultCode::Usage, message })?;
+    }
+    Ok(output(arguments, &report, burn_report::report_text(&report)))
+}
+
+fn host_burn(
+    asked: &OperatorClient,
+    asked_host: &str,
+    host: &crate::generated::caller_messages::HostView,
+    token: &str,
+) -> Result<BurnAnswer, CommandFault> {
+    if host.host == asked_host {
+        return Ok(asked.get("/operator/burn")?.body);
+    }
+    if host.operator_address.is_empty() {
+        return Err(CommandFault::of(ResultCode::NotFound));
+    }
+    let client = OperatorClient::new(&format!("http://{}", host.operator_address), token);
+    Ok(client.get("/operator/burn")?.body)
+}
--- a/src/http_server/body.rs
+++ b/src/http_server/body.rs
@@ -75,9 +75,10 @@
             Ok(()) => Ok(()),
             Err(mpsc::error::TrySendError::Closed(_)) => Err(StreamEnd::ReaderGone),
             Err(mpsc::error::TrySendError::Full(piece)) => {
-                let send = tokio::time::timeout(self.wait, self.pieces.send(piece));
-                // The future is created inside the runtime's context, which the timer needs.
-                match self.runtime.block_on(send) {
+                // The timer needs the runtime's context, so the future is made inside `block_on`.
+                let sent =
+                    self.runtime.block_on(async { tokio::time::timeout(self.wait, self.pieces.send(piece)).await });
+                match sent {
                     Ok(Ok(())) => Ok(()),
                     Ok(Err(_)) => Err(StreamEnd::ReaderGone),
                     Err(_) => Err(StreamEnd::ReaderSlow),
--- /dev/null
+++ b/src/operator/status_view.rs
@@ -0,0 +1,122 @@
+//! Control state in the form shown to operators.
+
+use serde::Serialize;
+
+use crate::control::ControlView;
+use crate::control::control_view::{MemberRecord, MemberState};
+use crate::generated::caller_messages::{HostView, StatusAnswer, TargetView};
+use crate::generated::platform_messages::{HostRecord, HostState};
+use crate::generated::services_text::{OrganisationEntry, RouteEntry, ServiceEntry, TargetEntry};
+use crate::prelude::*;
+
+/// Configuration in force, without the digests of key secrets.
+#[derive(Debug, Serialize)]
+pub struct ConfigurationAnswer<'a> {
+    version: ConfigurationVersion,
+    services: &'a [ServiceEntry],
+    routes: &'a [RouteEntry],
+    organisations: &'a [OrganisationEntry],
+    targets: &'a [TargetEntry],
+    out_domains: &'a [DomainId],
+    out_targets: &'a [TargetId],
+    keys: Vec<KeySummary<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct KeySummary<'a> {
+    key_id: &'a str,
+    organisation: &'a str,
+    withdrawn: bool,
+}
+
+/// Configuration in force for `show` and `keys list`.
+#[must_use]
+pub fn configuration_answer(view: &ControlView) -> ConfigurationAnswer<'_> {
+    let configuration = &view.configuration;
+    let keys = configuration.keys.iter().map(|key| KeySummary {
+        key_id: &key.key_id,
+        organisation: &key.organisation,
+        withdrawn: view.is_withdrawn(&key.key_id),
+    });
+    ConfigurationAnswer {
+        version: configuration.version,
+        services: &configuration.services,
+        routes: &configuration.routes,
+        organisations: &configuration.organisations,
+        targets: &configuration.targets,
+        out_domains: &configuration.out_domains,
+        out_targets: &configuration.out_targets,
+        keys: keys.collect(),
+    }
+}
+
+/// State of this host for `hosts`, `targets` and `leases`.
+#[must_use]
+pub fn status_answer(view: &ControlView, targets: Vec<TargetView>, now: BootTime) -> StatusAnswer {
+    let age = view.view_age(now).map_or(u64::MAX, milliseconds);
+    StatusAnswer {
+        host: view.host.clone(),
+        failure_domain: view.failure_domain.clone(),
+        incarnation: format!("{:016x}", view.incarnation),
+        configuration_version: view.configuration.version,
+        view_age_ms: age,
+        ready: view.is_full && !view.is_leaving,
+        hosts: host_views(view, now),
+        targets,
+        resources: view.owned.iter().map(|owned| owned.name.clone()).collect(),
+    }
+}
+
+fn host_views(view: &ControlView, now: BootTime) -> Vec<HostView> {
+    let mut hosts: Vec<HostView> = view.listed.iter().map(|record| listed_view(view, record, now)).collect();
+    for member in &view.members {
+        if !view.listed.iter().any(|record| record.host == member.host) {
+            hosts.push(member_view(member, &view.failure_domain, "", now));
+        }
+    }
+    hosts.sort_by(|left, right| left.host.cmp(&right.host));
+    hosts
+}
+
+fn listed_view(view: &ControlView, record: &HostRecord, now: BootTime) -> HostView {
+    match view.members.iter().find(|member| member.host == record.host) {
+        Some(member) => member_view(member, &record.failure_domain, &record.operator_address, now),
+        None => HostView {
+            host: record.host.clone(),
+            failure_domain: record.failure_domain.clone(),
+            state: listed_state(record.state).to_owned(),
+            incarnation: String::new(),
+            heartbeat_age_ms: 0,
+            operator_address: record.operator_address.clone(),
+        },
+    }
+}
+
+// Hosts of other domains are known from the host list only.
+fn listed_state(state: HostState) -> &'static str {
+    match state {
+        HostState::Live => "listed",
+        HostState::Leaving => "listed_leaving",
+    }
+}
+
+fn member_view(member: &MemberRecord, failure_domain: &str, operator_address: &str, now: BootTime) -> HostView {
+    let state = match member.state {
+        MemberState::Live => "live",
+        MemberState::Suspect => "suspect",
+        MemberState::Dead => "dead",
+        MemberState::Leaving => "leaving",
+    };
+    HostView {
+        host: member.host.clone(),
+        failure_domain: failure_domain.to_owned(),
+        state: state.to_owned(),
+        incarnation: format!("{:016x}", member.incarnation),
+        heartbeat_age_ms: milliseconds(now.saturating_sub(member.heard_at)),
+        operator_address: operator_address.to_owned(),
+    }
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/report/burn_plot.rs
@@ -0,0 +1,76 @@
+//! Plot of the burn report: bad share by minute for each service.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use super::burn_recorder::KEPT_MINUTES;
+use super::burn_report::BurnReport;
+use crate::generated::caller_messages::MinuteCount;
+
+/// Width and height of the plot in pixels.
+const PLOT_SIZE: (u32, u32) = (1000, 500);
+
+/// Writes the plot as SVG: one line for each service, organisations added up.
+///
+/// # Errors
+///
+/// The file cannot be written; the message says why.
+pub fn write_plot(report: &BurnReport, file: &Path) -> Result<(), String> {
+    let series = service_series(report);
+    let highest = series.iter().flat_map(|service| &service.points).map(|point| point.1).fold(0.01, f64::max);
+    draw(&series, highest, file).map_err(|error| format!("{}: {error}", file.display()))
+}
+
+struct PlotSeries {
+    service: String,
+    points: Vec<(f64, f64)>,
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
+fn service_series(report: &BurnReport) -> Vec<PlotSeries> {
+    let mut services: Vec<&str> = report.lines.iter().map(|line| line.service.as_str()).collect();
+    services.dedup();
+    let mut series = Vec::with_capacity(services.len());
+    for service in services {
+        let minutes = report.lines.iter().filter(|line| line.service == service).flat_map(|line| &line.minutes);
+        let mut sums: Vec<MinuteCount> = Vec::new();
+        for minute in minutes {
+            match sums.binary_search_by_key(&minute.age_minutes, |sum| sum.age_minutes) {
+                Ok(position) => {
+                    sums[position].good += minute.good;
+                    sums[position].bad += minute.bad;
+                }
+                Err(position) => sums.insert(position, minute.clone()),
+            }
+        }
+        let points =
+            sums.iter().map(|sum| (-f64::from(sum.age_minutes), sum.bad as f64 / (sum.good + sum.bad).max(1) as f64));
+        series.push(PlotSeries { service: service.to_owned(), points: points.collect() });
+    }
+    series
+}
+
+fn draw(series: &[PlotSeries], highest: f64, file: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::new(file, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    #[expect(clippy::cast_precision_loss, reason = "a few hundred minutes")]
+    let oldest = -(KEPT_MINUTES as f64);
+    let mut chart = ChartBuilder::on(&area)
+        .caption("Share of bad requests by minute", ("sans-serif", 20))
+        .margin(10)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(oldest..0.0, 0.0..highest * 1.05)?;
+    chart.configure_mesh().x_desc("minutes ago").y_desc("bad share").draw()?;
+    for (index, service) in series.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        chart
+            .draw_series(LineSeries::new(service.points.clone(), &colour))?
+            .label(&service.service)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 20, y)], colour));
+    }
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE.mix(0.8)).draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/tests/integration/command_line.rs
@@ -0,0 +1,68 @@
+//! Command line: exit statuses, output forms and the page of result codes.
+
+use std::process::{Command, Output};
+
+use camphorspring::result_code::ALL_CODES;
+use googletest::prelude::*;
+
+fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_camphorspring"));
+    command.env_remove("CAMPHORSPRING_HOST").env_remove("CAMPHORSPRING_TOKEN");
+    command.args(arguments).output().unwrap()
+}
+
+/// Guards against scripts that cannot tell failures apart by exit status.
+#[googletest::test]
+fn commands_exit_with_their_result_code() {
+    let valid = "tests/integration/settings/valid/two_domains.yaml";
+    let invalid = "tests/integration/settings/invalid/several_errors.yaml";
+    let cases: [(&str, &[&str]); 7] = [
+        ("valid text", &["check", valid]),
+        ("invalid text", &["check", invalid]),
+        ("missing file", &["check", "no-such-file.yaml"]),
+        ("invalid text is not sent", &["apply", invalid, "--host", "http://127.0.0.1:1", "--token", "t"]),
+        ("no host given", &["hosts"]),
+        ("host does not answer", &["hosts", "--host", "http://127.0.0.1:1", "--token", "t"]),
+        ("unknown command", &["no-such-command"]),
+    ];
+    let lines: Vec<String> =
+        cases.iter().map(|(name, arguments)| format!("{name}: {}", run(arguments).status.code().unwrap())).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against output that programs cannot read.
+#[googletest::test]
+fn json_output_is_json() {
+    let output = run(&["codes", "--json"]);
+    let codes: Vec<serde_json::Value> = serde_json::from_slice(&output.stdout).unwrap();
+    expect_that!(codes.len(), eq(ALL_CODES.len()));
+}
+
+/// Guards against a code that is missing from the page, or listed with other properties.
+#[googletest::test]
+fn page_lists_every_code() {
+    let page = include_str!("../../docs/result-codes.md");
+    for code in ALL_CODES {
+        let entry = code.entry();
+        let row = format!(
+            "| {} | `{}` | {} | {} | {} | {} |",
+            entry.number,
+            entry.name,
+            entry.status,
+            entry.exit,
+            entry.ran.name(),
+            entry.message
+        );
+        expect_that!(page.contains(&row), eq(true), "{row}");
+    }
+}
+
+/// Guards against codes out of order, which the search by number depends on, and against numbers used twice.
+#[googletest::test]
+fn codes_are_sorted_and_unique() {
+    let numbers: Vec<u16> = ALL_CODES.iter().map(|code| code.number()).collect();
+    let mut sorted = numbers.clone();
+    sorted.sort_unstable();
+    sorted.dedup();
+    expect_that!(numbers, eq(&sorted));
+}
--- /dev/null
+++ b/tests/integration/http_bounds.rs
@@ -0,0 +1,194 @@
+//! HTTP server against callers that are slow, silent, too large or malformed.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use camphorspring::http_server::{HttpReply, HttpServer, ReplyBody, RequestHandler, ServerLimits};
+use googletest::prelude::*;
+use std::sync::Arc;
+use tokio::runtime::Runtime;
+
+const SHORT: Duration = Duration::from_millis(300);
+const GENEROUS: Duration = Duration::from_secs(20);
+
+fn limits() -> ServerLimits {
+    ServerLimits { connections: 8, requests: 2, body: 1000, header_time: SHORT, body_time: SHORT, write_time: SHORT }
+}
+
+fn start(limits: ServerLimits, handler: RequestHandler) -> (Runtime, HttpServer) {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let server = HttpServer::start(&runtime, "127.0.0.1:0", limits, handler).unwrap();
+    (runtime, server)
+}
+
+fn echo() -> RequestHandler {
+    Arc::new(|request| HttpReply::whole(200, "text/plain", request.body))
+}
+
+fn exchange(server: &HttpServer, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    stream.set_read_timeout(Some(GENEROUS)).unwrap();
+    let _ = stream.write_all(bytes);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    let status = answer.split("\r\n").next().unwrap_or_default().to_owned();
+    let code = answer.split("\"code\":").nth(1).and_then(|rest| rest.split(',').next()).unwrap_or("-").to_owned();
+    format!("{status} code {code}")
+}
+
+fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + GENEROUS;
+    while !condition() {
+        assert!(Instant::now() < end, "waited too long for: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Guards against malformed input that gets no coded answer, or ends the server.
+#[googletest::test]
+fn malformed_requests_get_an_answer() {
+    let (_runtime, server) = start(limits(), echo());
+    let big_header = format!("GET / HTTP/1.1\r\nhost: h\r\nx: {}\r\n\r\n", "a".repeat(40_000));
+    let big_body = format!("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 2000\r\n\r\n{}", "a".repeat(2000));
+    let cases: [(&str, &[u8]); 6] = [
+        ("garbage", b"\x00\xff\x13garbage\r\n\r\n"),
+        ("header too large", big_header.as_bytes()),
+        ("body too large", big_body.as_bytes()),
+        ("body never complete", b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n\r\nabc"),
+        ("head never complete", b"GET / HTTP/1.1\r\nhost: h"),
+        ("bad chunk", b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nabc"),
+    ];
+    let lines: Vec<String> =
+        cases.iter().map(|(name, bytes)| format!("{name}: {}", exchange(&server, bytes))).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+    let after = exchange(&server, b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok");
+    expect_that!(after, starts_with("HTTP/1.1 200"));
+}
+
+/// Guards against callers that hold connections open with half a request head.
+#[googletest::test]
+fn half_heads_are_closed() {
+    let (_runtime, server) = start(limits(), echo());
+    let streams: Vec<TcpStream> = (0..8)
+        .map(|_| {
+            let mut stream = TcpStream::connect(server.address()).unwrap();
+            stream.write_all(b"GET / HTTP/1.1\r\nhost:").unwrap();
+            stream
+        })
+        .collect();
+    wait_until("connections accepted", || server.counters().connections.load(Ordering::Acquire) == 8);
+    wait_until("connections closed", || server.counters().connections.load(Ordering::Acquire) == 0);
+    drop(streams);
+}
+
+/// Guards against more open connections than the limit.
+#[googletest::test]
+fn connections_beyond_the_limit_are_closed() {
+    let limits = ServerLimits { header_time: GENEROUS, ..limits() };
+    let (_runtime, server) = start(limits, echo());
+    let streams: Vec<TcpStream> = (0..12).map(|_| TcpStream::connect(server.address()).unwrap()).collect();
+    wait_until("rejections", || server.counters().rejected_connections.load(Ordering::Acquire) == 4);
+    expect_that!(server.counters().connections.load(Ordering::Acquire), eq(8));
+    drop(streams);
+}
+
+/// Guards against a caller that stops reading and holds its request thread for ever.
+#[googletest::test]
+fn slow_reader_is_dropped() {
+    let ends = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let seen = Arc::clone(&ends);
+    let handler: RequestHandler = Arc::new(move |_| {
+        let (sender, body) = ReplyBody::streamed();
+        let seen = Arc::clone(&seen);
+        std::thread::spawn(move || {
+            let end = loop {
+                if let Err(end) = sender.send(vec![b'x'; 64 * 1024]) {
+                    break end;
+                }
+            };
+            seen.lock().unwrap().push(end);
+        });
+        HttpReply::stream(200, "text/plain", body)
+    });
+    let (_runtime, server) = start(limits(), handler);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").unwrap();
+    wait_until("the sender to end", || ends.lock().unwrap().len() == 1);
+    wait_until("the connection to close", || server.counters().connections.load(Ordering::Acquire) == 0);
+}
+
+/// Guards against an aborted stream that looks complete to its reader.
+#[googletest::test]
+fn aborted_stream_has_no_final_chunk() {
+    let handler: RequestHandler = Arc::new(|request| {
+        let (sender, body) = ReplyBody::streamed();
+        let _ = sender.send(b"piece".to_vec());
+        if request.path == "/whole" {
+            let _ = sender.finish();
+        }
+        HttpReply::stream(200, "text/plain", body)
+    });
+    let (_runtime, server) = start(limits(), handler);
+    let read = |path: &str| {
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        stream.set_read_timeout(Some(GENEROUS)).unwrap();
+        write!(stream, "GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        String::from_utf8_lossy(&answer).contains("\r\n0\r\n\r\n")
+    };
+    expect_that!(read("/whole"), eq(true));
+    expect_that!(read("/aborted"), eq(false));
+}
+
+/// Guards against a planned stop that cuts an answer, and against one that takes new connections.
+#[googletest::test]
+fn stop_waits_for_answers() {
+    let (release, wait) = std::sync::mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let handler: RequestHandler = Arc::new(move |_| {
+        let _ = wait.lock().unwrap().recv();
+        HttpReply::whole(200, "text/plain", b"late".to_vec())
+    });
+    let (_runtime, server) = start(limits(), handler);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    stream.set_read_timeout(Some(GENEROUS)).unwrap();
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").unwrap();
+    wait_until("the request", || server.counters().requests.load(Ordering::Acquire) == 1);
+    expect_that!(server.stop(Duration::from_millis(50)), eq(false));
+    release.send(()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    expect_that!(answer, ends_with("late"));
+    expect_that!(server.stop(GENEROUS), eq(true));
+    expect_that!(TcpStream::connect(server.address()).is_err(), eq(true));
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Guards against requests that queue without bound when all threads are taken.
+#[googletest::test]
+fn busy_server_refuses() {
+    let (release, wait) = std::sync::mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let handler: RequestHandler = Arc::new(move |_| {
+        let _ = wait.lock().unwrap().recv();
+        HttpReply::whole(200, "text/plain", Vec::new())
+    });
+    let (_runtime, server) = start(limits(), handler);
+    let held: Vec<TcpStream> = (0..2)
+        .map(|_| {
+            let mut stream = TcpStream::connect(server.address()).unwrap();
+            stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").unwrap();
+            stream
+        })
+        .collect();
+    wait_until("two requests", || server.counters().requests.load(Ordering::Acquire) == 2);
+    let answer = exchange(&server, b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+    expect_that!(answer, eq("HTTP/1.1 503 Service Unavailable code 1202"));
+    release.send(()).unwrap();
+    release.send(()).unwrap();
+    drop(held);
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,3 +1,7 @@
 //! Integration tests by topic.
 
+mod command_line;
+mod http_bounds;
+mod operator;
+mod report;
 mod settings;
