Add control state, control thread, operator changes and peer links

Change: pure state machines for configuration, keys, members, freshness and leases; the thread that runs them; WebSocket links. Gossip is by request and answer, so that an age is bounded by the asker's own clock.

--- a/src/control.rs
+++ b/src/control.rs
@@ -2,8 +2,25 @@
 //!
 //! One thread owns all of it. Other threads read an immutable [`ControlView`] and send [`ControlEvent`]s.
 
+pub mod authentication;
 pub mod configuration;
+pub mod configuration_log;
+pub mod configuration_snapshot;
+pub mod configuration_writer;
+pub mod control_state;
+pub mod control_thread;
 pub mod control_view;
+pub mod freshness;
+pub mod gossip_plan;
+pub mod host_session;
+pub mod incarnation;
+pub mod lease_table;
+pub mod member_table;
+pub mod stable_hash;
+pub mod store_call;
+pub mod store_poll;
+pub mod withdrawal_watch;
+pub mod withdrawn_set;
 
 use std::sync::mpsc::SyncSender;
 
@@ -11,6 +28,7 @@
 
 use crate::generated::peer_messages::PeerFrame;
 use crate::prelude::*;
+pub use control_thread::{ControlSettings, start_control};
 pub use control_view::ControlView;
 
 /// Sender of a frame, as proved by its hello.
@@ -39,6 +57,10 @@
     DropResource(String),
     /// A planned stop began.
     Leave,
+    /// A helper thread has the result of a store call.
+    Store(Box<store_call::StoreReport>),
+    /// The control thread shall end.
+    Stop,
 }
 
 /// Access to the control thread.
@@ -61,6 +83,12 @@
         self.view.load_full()
     }
 
+    /// Sends an event without waiting; returns whether it was taken. A lost frame is repeated by its sender's protocol.
+    #[expect(clippy::must_use_candidate, reason = "frames may be lost anyway")]
+    pub fn try_send(&self, event: ControlEvent) -> bool {
+        self.events.try_send(event).is_ok()
+    }
+
     /// Sends an event; returns whether the control thread is there to take it. Waits while its channel is full.
     #[expect(clippy::must_use_candidate, reason = "most senders need no answer")]
     pub fn send(&self, event: ControlEvent) -> bool {
--- /dev/null
+++ b/src/control/configuration_snapshot.rs
@@ -0,0 +1,129 @@
+//! The whole configuration as items: object in the store, and parts for peers.
+
+use serde::Serialize;
+
+use crate::control::configuration::{
+    Configuration, KIND_DOMAIN_OUT, KIND_KEY, KIND_ORGANISATION, KIND_ROUTE, KIND_SERVICE, KIND_TARGET, KIND_TARGET_OUT,
+};
+use crate::control::configuration_log::{ANSWER_BYTES, item_bytes};
+use crate::generated::peer_messages::{ConfigurationChange, ConfigurationItem, SnapshotPart, SnapshotRequest};
+use crate::prelude::*;
+
+/// All items of a configuration, in a fixed order.
+#[must_use]
+pub fn snapshot_items(configuration: &Configuration) -> Vec<ConfigurationItem> {
+    let mut items = Vec::new();
+    push_entries(&mut items, KIND_SERVICE, &configuration.services, |entry| &entry.name);
+    push_entries(&mut items, KIND_ROUTE, &configuration.routes, |entry| &entry.path);
+    push_entries(&mut items, KIND_ORGANISATION, &configuration.organisations, |entry| &entry.name);
+    push_entries(&mut items, KIND_TARGET, &configuration.targets, |entry| &entry.id);
+    push_entries(&mut items, KIND_DOMAIN_OUT, &configuration.out_domains, |name| name);
+    push_entries(&mut items, KIND_TARGET_OUT, &configuration.out_targets, |name| name);
+    push_entries(&mut items, KIND_KEY, &configuration.keys, |entry| &entry.key_id);
+    items
+}
+
+fn push_entries<T: Serialize>(
+    items: &mut Vec<ConfigurationItem>,
+    kind: &str,
+    entries: &[T],
+    name_of: fn(&T) -> &String,
+) {
+    for entry in entries {
+        let value = serde_json::to_string(entry).ok();
+        items.push(ConfigurationItem { kind: kind.to_owned(), name: name_of(entry).clone(), value });
+    }
+}
+
+/// Configuration at `version` that consists of `items`.
+#[must_use]
+pub fn restore_configuration(version: ConfigurationVersion, items: Vec<ConfigurationItem>) -> Configuration {
+    let mut configuration = Configuration { version: version.saturating_sub(1), ..Configuration::default() };
+    configuration.apply(&ConfigurationChange { version, items });
+    configuration
+}
+
+/// Bytes of the snapshot object of a configuration.
+#[must_use]
+pub fn encode_snapshot(configuration: &Configuration) -> Vec<u8> {
+    let change = ConfigurationChange { version: configuration.version, items: snapshot_items(configuration) };
+    serde_json::to_vec(&change).unwrap_or_default()
+}
+
+/// Reads a snapshot object; `None` when it cannot be read.
+#[must_use]
+pub fn decode_snapshot(bytes: &[u8]) -> Option<ConfigurationChange> {
+    serde_json::from_slice(bytes).ok()
+}
+
+/// Parts of one configuration, for peers that are too far behind for changes.
+#[derive(Debug, Default)]
+pub struct SnapshotSource {
+    version: ConfigurationVersion,
+    parts: Vec<Vec<ConfigurationItem>>,
+}
+
+impl SnapshotSource {
+    /// Part that a peer asks for. A request for the first part, or for a version that is not held, starts again with
+    /// the present configuration.
+    pub fn part(&mut self, request: &SnapshotRequest, configuration: &Configuration) -> SnapshotPart {
+        let is_held = self.version == request.version && (request.part as usize) < self.parts.len();
+        let part = if is_held { request.part } else { 0 };
+        if !is_held && self.version != configuration.version {
+            self.version = configuration.version;
+            self.parts = split_items(snapshot_items(configuration));
+        }
+        let parts = u32::try_from(self.parts.len()).unwrap_or(u32::MAX);
+        let items = self.parts.get(part as usize).cloned().unwrap_or_default();
+        SnapshotPart { version: self.version, part, parts, items }
+    }
+}
+
+fn split_items(items: Vec<ConfigurationItem>) -> Vec<Vec<ConfigurationItem>> {
+    let mut parts = vec![Vec::new()];
+    let mut bytes = 0;
+    for item in items {
+        bytes += item_bytes(&item);
+        if bytes > ANSWER_BYTES {
+            parts.push(Vec::new());
+            bytes = item_bytes(&item);
+        }
+        if let Some(part) = parts.last_mut() {
+            part.push(item);
+        }
+    }
+    parts
+}
+
+/// Parts received so far from one peer.
+#[derive(Debug, Default)]
+pub struct SnapshotSink {
+    version: ConfigurationVersion,
+    next_part: u32,
+    items: Vec<ConfigurationItem>,
+}
+
+impl SnapshotSink {
+    /// Request for the next part.
+    #[must_use]
+    pub fn request(&self) -> SnapshotRequest {
+        SnapshotRequest { version: self.version, part: self.next_part }
+    }
+
+    /// Takes a part; returns all items when it was the last one.
+    pub fn take(&mut self, part: SnapshotPart) -> Option<ConfigurationChange> {
+        if part.part == 0 {
+            *self = Self { version: part.version, next_part: 0, items: Vec::new() };
+        }
+        if part.version != self.version || part.part != self.next_part {
+            return None;
+        }
+        self.items.extend(part.items);
+        self.next_part += 1;
+        if self.next_part < part.parts {
+            return None;
+        }
+        let whole = std::mem::take(self);
+        Some(ConfigurationChange { version: whole.version, items: whole.items })
+    }
+}
--- a/src/control/control_view.rs
+++ b/src/control/control_view.rs
@@ -54,6 +54,17 @@
     pub valid_until: BootTime,
 }
 
+/// A key withdrawn at this host a short time ago, and who has confirmed it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WithdrawalProgress {
+    /// Key.
+    pub key_id: KeyId,
+    /// Whether the store has it.
+    pub is_stored: bool,
+    /// Failure domains with listed hosts of which none has confirmed it, sorted.
+    pub unconfirmed: Vec<DomainId>,
+}
+
 /// Control state at one moment.
 #[derive(Debug, Clone)]
 pub struct ControlView {
@@ -67,6 +78,8 @@
     pub configuration: Arc<Configuration>,
     /// Withdrawn key ids, sorted.
     pub withdrawn: Arc<Vec<KeyId>>,
+    /// Withdrawals through this host that an operator may be waiting for.
+    pub withdrawals: Vec<WithdrawalProgress>,
     /// Members of the own failure domain, sorted by host.
     pub members: Vec<MemberRecord>,
     /// Host list of the platform, sorted by host.
@@ -93,6 +106,7 @@
             incarnation,
             configuration: Arc::new(Configuration::default()),
             withdrawn: Arc::new(Vec::new()),
+            withdrawals: Vec::new(),
             members: Vec::new(),
             listed: Arc::new(Vec::new()),
             domains: Vec::new(),
--- /dev/null
+++ b/src/control/stable_hash.rs
@@ -0,0 +1,37 @@
+//! Hashes that are equal on all hosts, and choices made from them.
+
+use sha2::{Digest, Sha256};
+
+/// First 64 bits of SHA-256 over the parts, each preceded by its length.
+#[must_use]
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(first)
+}
+
+/// Hash of a list of names in 32 bits; never 0, which stands for "no list".
+#[must_use]
+pub fn list_hash<'a>(names: impl Iterator<Item = &'a str>, lives: &[u64]) -> u32 {
+    let mut parts: Vec<Vec<u8>> = names.map(|name| name.as_bytes().to_vec()).collect();
+    parts.extend(lives.iter().map(|life| life.to_be_bytes().to_vec()));
+    let parts: Vec<&[u8]> = parts.iter().map(Vec::as_slice).collect();
+    let hash = stable_hash(&parts);
+    u32::try_from(hash >> 32).unwrap_or_default().max(1)
+}
+
+/// Candidates by falling rendezvous weight for `purpose`: every host that knows the same candidates gets the same
+/// order, and a candidate that goes away changes only its own place.
+#[must_use]
+pub fn rank_hosts<'a>(purpose: &str, candidates: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut ranked: Vec<(u64, &str)> =
+        candidates.map(|candidate| (stable_hash(&[purpose.as_bytes(), candidate.as_bytes()]), candidate)).collect();
+    ranked.sort_unstable();
+    ranked.into_iter().rev().map(|(_, candidate)| candidate).collect()
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,8 +1,16 @@
 //! Links between hosts: CBOR frames over WebSocket.
 
+pub mod frame_codec;
+mod link;
+pub mod network;
+mod peer_book;
+pub mod peer_counters;
+
 use crate::control::PeerOrigin;
 use crate::generated::peer_messages::PeerFrame;
 use crate::prelude::*;
+pub use network::{PeerIdentity, PeerNetwork};
+pub use peer_counters::PeerCounters;
 
 /// Function that takes every frame from a peer; it must not block.
 pub type FrameHandler = Arc<dyn Fn(&PeerOrigin, PeerFrame) + Send + Sync>;
