Run completions and plain routes through the caller interface

Cause: the caller port had no handler. Change: the engine client reads token streams with an idle limit on each read; the runner resumes a stream on another target and takes each token once; plain requests are forwarded without credentials; equal requests share a run. The HTTP server writes the last pieces of an aborted stream before it breaks off: without that, the table of engine faults showed one piece lost at each abort, and the error event of a stream did not arrive. The timer of a full stream buffer gets the runtime's context, which a thread outside of the pool lacks.

--- a/src/http_server/body.rs
+++ b/src/http_server/body.rs
@@ -107,7 +107,7 @@
     pub fn streamed() -> (BodySender, Self) {
         let (pieces, receiver) = mpsc::channel(STREAM_BUFFER);
         let sender = BodySender { pieces, runtime: Handle::current(), wait: SLOW_READER_LIMIT };
-        (sender, Self::Stream(PieceReceiver { receiver, is_finished: false }))
+        (sender, Self::Stream(PieceReceiver { receiver, is_finished: false, is_flushed: false }))
     }
 }
 
@@ -116,6 +116,8 @@
 pub struct PieceReceiver {
     receiver: mpsc::Receiver<BodyPiece>,
     is_finished: bool,
+    /// Whether hyper had a turn to write what it holds since the sender was dropped.
+    is_flushed: bool,
 }
 
 impl std::fmt::Debug for BodyPiece {
@@ -166,6 +168,12 @@
                     stream.is_finished = true;
                     Poll::Ready(None)
                 }
+                // An error makes hyper drop pieces that it has not written, and with them the error event of a
+                // stream; a turn without a piece makes it write them first.
+                Poll::Ready(None) if !std::mem::replace(&mut stream.is_flushed, true) => {
+                    context.waker().wake_by_ref();
+                    Poll::Pending
+                }
                 Poll::Ready(None) => Poll::Ready(Some(Err(io::Error::other("the answer was aborted")))),
             },
         }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -1,5 +1,14 @@
 //! Carrying requests to targets: streams, retries, coalescing, claims and quarantine.
 
+pub mod coalescing;
+pub mod engine_client;
+pub mod engine_runner;
+pub mod idle_transport;
+pub mod plain_client;
+pub mod plain_runner;
+pub mod retry_policy;
+pub mod text_assembly;
+
 use crate::generated::caller_messages::VersionSpan;
 use crate::generated::engine_messages::EnginePiece;
 use crate::prelude::*;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,7 +1,9 @@
 //! Integration tests by topic.
 
 mod command_line;
+mod gateway;
 mod http_bounds;
 mod operator;
 mod report;
 mod settings;
+mod traffic_bench;
