--- a/tests/integration/samples.rs
+++ b/tests/integration/samples.rs
@@ -279,7 +279,7 @@
 fn two_runs_under_one_epoch_write_each_group_once() {
     let problems = std::thread::scope(|scope| {
         let cases = (0..OWNER_CALLS).flat_map(|first| (0..OWNER_CALLS).map(move |second| (first, second)));
-        let cases = cases.filter(|(first, second)| (first * OWNER_CALLS + second) % 3 == 0);
+        let cases = cases.filter(|(first, second)| (first * OWNER_CALLS + second).is_multiple_of(3));
         let runs: Vec<_> = cases.map(|(first, second)| scope.spawn(move || run_twice(first, second))).collect();
         runs.into_iter().flat_map(|run| run.join().unwrap()).collect::<Vec<String>>()
     });
--- a/tests/integration/samples/step_harness.rs
+++ b/tests/integration/samples/step_harness.rs
@@ -199,7 +199,9 @@
                         batches.push(content);
                     }
                     if batch.complete {
-                        frozen.iter().for_each(|client| client.thaw());
+                        for client in &frozen {
+                            client.thaw();
+                        }
                         return Ok(batches);
                     }
                 }
