Use the straggler policy and unique writer tokens in steps

Cause: the platform takes a repeated writer token for a repeat of the same transaction; two submissions of one content by two organisations shared a token. Change: tokens of a random process number and a counter; the shard plan asks the policy.

--- a/src/platform/store_access.rs
+++ b/src/platform/store_access.rs
@@ -1,5 +1,11 @@
 //! Access to the table service and object store through functions, so that tests can inject a fault at every call.
 
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use rand::TryRng;
+use rand::rngs::SysRng;
+
 use crate::generated::platform_messages::{RowCheck, RowWrite, TableRow, TransactionAnswer};
 use crate::platform::{PlatformClient, PlatformFault};
 use crate::prelude::*;
@@ -20,6 +26,22 @@
 /// Function that reads an object.
 pub type ObjectReader = Arc<dyn Fn(&str) -> Result<Option<Vec<u8>>, PlatformFault> + Send + Sync>;
 
+/// Writer token that no other transaction has: a random number of this process and a counter.
+///
+/// A repeat of a transaction after a lost answer uses the token of the first attempt.
+#[must_use]
+pub fn new_writer_token() -> String {
+    static PROCESS: OnceLock<u64> = OnceLock::new();
+    static COUNTER: AtomicU64 = AtomicU64::new(0);
+    // Without system randomness the boot-time clock has to do; two processes hardly start in the same nanosecond.
+    let process = PROCESS.get_or_init(|| SysRng.try_next_u64().unwrap_or_else(|_| fold_time(boot_time())));
+    format!("{process:016x}-{}", COUNTER.fetch_add(1, Ordering::Relaxed))
+}
+
+fn fold_time(time: BootTime) -> u64 {
+    time.as_secs() << 32 | u64::from(time.subsec_nanos())
+}
+
 /// Rows that one scan call asks for.
 const SCAN_PAGE: usize = 200;
 
--- a/src/samples/batch_delivery.rs
+++ b/src/samples/batch_delivery.rs
@@ -8,7 +8,7 @@
 use crate::generated::caller_messages::SampleBatch;
 use crate::generated::platform_messages::TableRow;
 use crate::platform::PlatformFault;
-use crate::platform::store_access::{StoreAccess, row_check, row_delete, row_write};
+use crate::platform::store_access::{StoreAccess, new_writer_token, row_check, row_delete, row_write};
 use crate::prelude::*;
 use crate::samples::sample_metrics::SampleMetrics;
 use crate::samples::step_rows::{
@@ -189,7 +189,7 @@
         row_write(DELIVERIES_TABLE, &delivery_key, encode_row(&delivery)?),
         row_delete(READY_TABLE, &ready.key),
     ];
-    match (store.transact)(&delivery_key, checks, writes) {
+    match (store.transact)(&new_writer_token(), checks, writes) {
         Ok(answer) if answer.applied => {
             metrics.delivered_samples.inc_by(u64::from(samples));
             Ok(Some(content))
@@ -216,7 +216,7 @@
         row_delete(READY_TABLE, key),
         row_write(OPEN_SHARDS_TABLE, open_key, encode_row(&OpenShardRow { service: place.step.service.clone() })?),
     ];
-    let answer = (store.transact)("stale", vec![row_check(MANIFEST_TABLE, key, READY_VERSION)], writes)?;
+    let answer = (store.transact)(&new_writer_token(), vec![row_check(MANIFEST_TABLE, key, READY_VERSION)], writes)?;
     if answer.applied {
         metrics.stale_batches.inc();
         log::warn!(batch = key; "batch_stale");
--- a/src/samples/shard_plan.rs
+++ b/src/samples/shard_plan.rs
@@ -5,6 +5,7 @@
 //! complete one counts.
 
 use crate::generated::caller_messages::{FailedGroup, SampleRecord};
+use crate::policy::straggler_plan::{SampleProgress, second_copies, start_order};
 use crate::prelude::*;
 
 /// Pause after the first failure of a sample; it doubles for each further one.
@@ -16,12 +17,6 @@
 /// Pauses are shortened by up to this many hundredths, so that samples that failed together do not return together.
 const PAUSE_SPREAD: u64 = 50;
 
-/// A copy that has run for this many times the median is a straggler.
-const STRAGGLER_FACTOR: u32 = 2;
-
-/// Second copies are for the last samples of a shard only: one in this many may be unfinished.
-const STRAGGLER_SHARE: usize = 8;
-
 /// One prompt of the shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GroupSpec {
@@ -127,12 +122,12 @@
     specs: Arc<[GroupSpec]>,
     limits: PlanLimits,
     groups: Vec<GroupState>,
-    /// Group positions, longest expected first.
-    order: Vec<usize>,
+    /// All samples in order.
+    slots: Vec<SampleSlot>,
     /// Copies in flight, sorted by number.
     running: Vec<RunningCopy>,
-    /// Run times of complete copies, sorted.
-    run_times: Vec<Duration>,
+    /// Time for each expected token of complete copies, sorted.
+    token_times: Vec<Duration>,
     next_copy: u64,
 }
 
@@ -144,9 +139,11 @@
             .zip(specs.iter())
             .map(|(position, spec)| if written.contains(&position) { GroupState::Written } else { open_group(spec) })
             .collect();
-        let mut order: Vec<usize> = (0..specs.len()).collect();
-        order.sort_by_key(|&position| std::cmp::Reverse((specs[position].max_tokens, specs[position].prompt.len())));
-        Self { specs, limits, groups, order, running: Vec::new(), run_times: Vec::new(), next_copy: 0 }
+        let slots = (0_u32..)
+            .zip(specs.iter())
+            .flat_map(|(group, spec)| (0..spec.samples).map(move |index| SampleSlot { group, index }))
+            .collect();
+        Self { specs, limits, groups, slots, running: Vec::new(), token_times: Vec::new(), next_copy: 0 }
     }
 
     /// Copies to start now.
@@ -171,28 +168,37 @@
         PlanAction::Start { copy, slot }
     }
 
+    /// Sample that waits, longest expected first.
     fn next_left(&self, now: BootTime) -> Option<SampleSlot> {
-        self.order.iter().find_map(|&position| {
-            let GroupState::Open(samples) = &self.groups[position] else { return None };
-            let is_due =
-                |state: &SampleState| matches!(state, SampleState::Left { not_before, .. } if *not_before <= now);
-            let index = samples.iter().position(is_due)?;
-            Some(slot_of(position, index))
-        })
+        let is_due = |state: &SampleState| matches!(state, SampleState::Left { not_before, .. } if *not_before <= now);
+        let order = start_order(&self.progress(is_due));
+        order.first().map(|position| self.slots[*position])
     }
 
     fn next_straggler(&self, now: BootTime) -> Option<SampleSlot> {
-        let median = *self.run_times.get(self.run_times.len() / 2)?;
-        let unfinished = self.unfinished_samples();
-        if unfinished > (self.total_samples() / STRAGGLER_SHARE).max(1) {
-            return None;
-        }
-        let limit = median * STRAGGLER_FACTOR;
-        let is_straggler = |running: &&RunningCopy| {
-            let copies = self.running.iter().filter(|other| other.slot == running.slot).count();
-            copies == 1 && now.saturating_sub(running.started_at) > limit
+        let token_time = *self.token_times.get(self.token_times.len() / 2)?;
+        let progress = self.progress(|state| matches!(state, SampleState::Left { .. }));
+        second_copies(&progress, token_time, now).first().map(|position| self.slots[*position])
+    }
+
+    /// Progress of all samples, in the order of `slots`; those for which `is_waiting` does not hold, and which do not
+    /// run, count as done.
+    fn progress(&self, is_waiting: impl Fn(&SampleState) -> bool) -> Vec<SampleProgress> {
+        let progress = |slot: &SampleSlot| {
+            let state = match &self.groups[position_of(*slot)] {
+                GroupState::Open(states) => states.get(slot.index as usize),
+                _ => None,
+            };
+            let running = self.running.iter().filter(|running| running.slot == *slot);
+            let started_at = running.clone().map(|running| running.started_at).min();
+            SampleProgress {
+                expected_tokens: self.specs[position_of(*slot)].max_tokens,
+                started_at,
+                copies: u32::try_from(running.count()).unwrap_or(u32::MAX),
+                is_done: started_at.is_none() && !state.is_some_and(&is_waiting),
+            }
         };
-        self.running.iter().find(is_straggler).map(|running| running.slot)
+        self.slots.iter().map(progress).collect()
     }
 
     /// Takes the result of a copy; returns the copies to cancel. The result of a cancelled copy is ignored.
@@ -217,9 +223,10 @@
     }
 
     fn finish_sample(&mut self, finished: RunningCopy, sample: SampleRecord, now: BootTime) -> Vec<PlanAction> {
-        let run_time = now.saturating_sub(finished.started_at);
-        let place = self.run_times.partition_point(|other| *other < run_time);
-        self.run_times.insert(place, run_time);
+        let expected_tokens = self.specs[position_of(finished.slot)].max_tokens.max(1);
+        let token_time = now.saturating_sub(finished.started_at) / expected_tokens;
+        let place = self.token_times.partition_point(|other| *other < token_time);
+        self.token_times.insert(place, token_time);
         if let Some(state) = self.sample_mut(finished.slot) {
             *state = SampleState::Done(sample);
         }
@@ -362,18 +369,6 @@
         &self.specs
     }
 
-    fn total_samples(&self) -> usize {
-        self.specs.iter().map(|spec| spec.samples as usize).sum()
-    }
-
-    fn unfinished_samples(&self) -> usize {
-        let open = self.groups.iter().filter_map(|group| match group {
-            GroupState::Open(states) => Some(states),
-            _ => None,
-        });
-        open.flatten().filter(|state| !matches!(state, SampleState::Done(_))).count()
-    }
-
     fn sample_mut(&mut self, slot: SampleSlot) -> Option<&mut SampleState> {
         match &mut self.groups[position_of(slot)] {
             GroupState::Open(states) => states.get_mut(slot.index as usize),
--- a/src/samples/step_submission.rs
+++ b/src/samples/step_submission.rs
@@ -4,7 +4,7 @@
 use crate::generated::caller_messages::{StepAccepted, StepRequest};
 use crate::generated::platform_messages::RowWrite;
 use crate::platform::PlatformFault;
-use crate::platform::store_access::{StoreAccess, row_check, row_write};
+use crate::platform::store_access::{StoreAccess, new_writer_token, row_check, row_write};
 use crate::prelude::*;
 use crate::samples::step_rows::{
     OPEN_SHARDS_TABLE, OpenShardRow, STEPS_TABLE, ShardName, StepRow, decode_row, encode_row, step_key,
@@ -70,7 +70,7 @@
     }
     (store.put_object)(&row.object, content).map_err(|_| AttemptFault::NotApplied)?;
     let writes = build_writes(request, row).map_err(AttemptFault::Fatal)?;
-    let answer = (store.transact)(&row.digest, vec![row_check(STEPS_TABLE, &key, 0)], writes);
+    let answer = (store.transact)(&new_writer_token(), vec![row_check(STEPS_TABLE, &key, 0)], writes);
     match answer {
         Ok(answer) if answer.applied => Ok(row.clone()),
         // Another submission came first; the next attempt reads its row.
