Add usage increments, replicas, windows and reports

Cause: usage must be reported once for each window, with one figure, whichever hosts die. Change: ledger of unflushed rows, replicas at a peer, windows that are closed before their figures are frozen, and corrections for late increments; tables of faults over both store clients and the report.

--- a/src/samples/shard_run.rs
+++ b/src/samples/shard_run.rs
@@ -51,15 +51,15 @@
     /// Limits in use.
     ///
     /// With four shards a host has at most 128 sample threads, and a shard of 256 samples takes eight rounds, which
-    /// leaves two minutes for each in a step of 16 minutes. The flush share keeps the part batches of a step at four a
-    /// second at most.
+    /// leaves two minutes for each in a step of 16 minutes. The flush share keeps the part batches of a step at two a
+    /// second at most, each of which costs six writes with its delivery.
     fn default() -> Self {
         Self {
             concurrency: 32,
             tick: Duration::from_millis(50),
             store_pause: Duration::from_millis(250),
             least_flush: Duration::from_secs(2),
-            flush_share: Duration::from_millis(250),
+            flush_share: Duration::from_millis(500),
         }
     }
 }
--- a/src/usage.rs
+++ b/src/usage.rs
@@ -1,4 +1,16 @@
 //! Usage: increments from finished requests, windows, and reports to the platform.
+//!
+//! Each host adds up the usage of its requests and writes it as increments. After a window has ended, one host freezes
+//! the sum of its increments and reports it.
+
+pub mod increment_writer;
+pub mod replica_table;
+pub mod usage_keeper;
+pub mod usage_ledger;
+pub mod usage_rows;
+pub mod window_closer;
+pub mod window_plan;
+pub mod window_usage;
 
 use crate::prelude::*;
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,3 +9,4 @@
 mod samples;
 mod settings;
 mod traffic_bench;
+mod usage;
