Wait for woken hosts in the usage tests, and count a late increment across windows

Cause: a sleep decided when woken hosts were done, and the holder of a replica corrected into the same window as its owner, so that the corrections row was not put to the test. Change: frozen threads are joined after the thaw; owner and holder correct at different times.

--- a/tests/integration/usage.rs
+++ b/tests/integration/usage.rs
@@ -25,11 +25,13 @@
     send: Option<(u64, SendFault)>,
 }
 
-/// Does work of a host in a thread, since the host may freeze; returns whether it came to its end.
+/// Does work of a host in a thread, since the host may freeze; returns whether it came to its end. A frozen thread is
+/// kept with its host, to be waited for after the thaw.
 fn run_until_stopped(host: &UsageHost, work: impl FnOnce() + Send + 'static) -> bool {
     let thread = std::thread::spawn(work);
     while !thread.is_finished() {
         if host.client.is_stopped() {
+            host.frozen.lock().unwrap().push(thread);
             return false;
         }
         std::thread::sleep(std::time::Duration::from_millis(1));
@@ -84,10 +86,8 @@
         world.take_over(&second, FIRST_WINDOW);
         report(&second);
     }
-    counting.client.thaw();
-    first.client.thaw();
-    // Waits until the woken processes have finished what they were doing.
-    std::thread::sleep(std::time::Duration::from_millis(20));
+    counting.thaw();
+    first.thaw();
     for window in [FIRST_WINDOW, FIRST_WINDOW + 300, FIRST_WINDOW + 600] {
         world.wall.store(window + 400, Ordering::SeqCst);
         let last = world.host("last", &[], None);
@@ -159,10 +159,13 @@
     world.take_over(&early, FIRST_WINDOW);
     report(&early);
     peer.keeper.flush_replicas();
-    counting.keeper.flush(false);
     world.wall.store(FIRST_WINDOW + 700, Ordering::SeqCst);
     world.take_over(&early, FIRST_WINDOW + 300);
     report(&early);
+    counting.keeper.flush(false);
+    world.wall.store(FIRST_WINDOW + 1000, Ordering::SeqCst);
+    world.take_over(&early, FIRST_WINDOW + 600);
+    report(&early);
     expect_that!(world.find_problems(15), is_empty());
     expect_that!(world.reports.lock().unwrap().len(), eq(2));
     let store = FaultyClient::new(&world.store, &[]).access();
--- a/tests/integration/usage/usage_harness.rs
+++ b/tests/integration/usage/usage_harness.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::sync_channel;
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -44,9 +45,21 @@
 pub struct UsageHost {
     pub client: Arc<FaultyClient>,
     pub keeper: Arc<UsageKeeper>,
+    /// Threads that were frozen.
+    pub frozen: Mutex<Vec<JoinHandle<()>>>,
     view: Arc<ArcSwap<ControlView>>,
 }
 
+impl UsageHost {
+    /// Lets frozen threads go on and waits until they have ended.
+    pub fn thaw(&self) {
+        self.client.thaw();
+        for thread in self.frozen.lock().unwrap().drain(..) {
+            thread.join().unwrap();
+        }
+    }
+}
+
 impl UsageWorld {
     pub fn new() -> Self {
         let world = Self::default();
@@ -84,7 +97,7 @@
             clock: Arc::new(move || Duration::from_millis(boot_ms.load(Ordering::SeqCst))),
             wall: Arc::new(move || wall.load(Ordering::SeqCst)),
         });
-        UsageHost { client, keeper, view }
+        UsageHost { client, keeper, frozen: Mutex::default(), view }
     }
 
     fn sender(&self, fault: Option<(u64, SendFault)>) -> ReportSender {
