Keep recent refusals for operators

Cause: an operator could not see why a request was refused without searching logs. Conclusion: a request id leads to the code, organisation and service.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::platform::PlatformClient;
 use crate::prelude::*;
 use crate::report::burn_recorder::BurnRecorder;
+use crate::report::refusal_log::RefusalLog;
 use crate::traffic::engine_runner::EngineParts;
 
 /// Function that accepts a step.
@@ -59,6 +60,8 @@
     pub registry: Registry,
     /// Counts requests against their objectives.
     pub objectives: Arc<BurnRecorder>,
+    /// Keeps recent refusals.
+    pub refusals: Arc<RefusalLog>,
 }
 
 /// State shared by all requests.
--- a/src/gateway/request_trace.rs
+++ b/src/gateway/request_trace.rs
@@ -58,6 +58,10 @@
         );
         self.gateway.metrics.note_request(&self.service, &self.organisation, code, latency);
         self.count_objective(code, status, latency);
+        if code != ResultCode::Done {
+            let now = self.gateway.now();
+            self.gateway.parts.refusals.record(&self.request_id, code, &self.organisation, &self.service, now);
+        }
     }
 
     fn count_objective(&self, code: ResultCode, status: u16, latency: Duration) {
--- a/src/report.rs
+++ b/src/report.rs
@@ -6,3 +6,4 @@
 pub mod burn_plot;
 pub mod burn_recorder;
 pub mod burn_report;
+pub mod refusal_log;
--- a/src/serve/host_parts.rs
+++ b/src/serve/host_parts.rs
@@ -22,6 +22,7 @@
 use crate::platform::store_access::StoreAccess;
 use crate::prelude::*;
 use crate::report::burn_recorder::BurnRecorder;
+use crate::report::refusal_log::RefusalLog;
 use crate::samples::StepService;
 use crate::samples::plain_grader::PlainGrader;
 use crate::serve::operator_parts::operator_parts;
@@ -85,9 +86,10 @@
         let stopping = Arc::new(AtomicBool::new(false));
         steps.start_keeper(Arc::clone(&stopping))?;
         let recorder = Arc::new(BurnRecorder::new(&settings.host, &settings.failure_domain, boot_time()));
-        let parts = gateway_parts(engine, &client, &steps, &registry, &recorder);
+        let refusals = Arc::new(RefusalLog::default());
+        let parts = gateway_parts(engine, &client, &steps, &registry, &recorder, &refusals);
         let callers = HttpServer::start(&runtime, &settings.caller_address, limits(settings), caller_handler(parts))?;
-        let operators = operator_parts(settings, &control, &client, registry, recorder);
+        let operators = operator_parts(settings, &control, &client, registry, recorder, refusals);
         let operator_limits = ServerLimits { requests: OPERATOR_REQUESTS, ..ServerLimits::default() };
         let operators =
             HttpServer::start(&runtime, &settings.operator_address, operator_limits, operator_handler(operators))?;
@@ -187,6 +189,7 @@
     steps: &Arc<StepService>,
     registry: &Registry,
     recorder: &Arc<BurnRecorder>,
+    refusals: &Arc<RefusalLog>,
 ) -> GatewayParts {
     let (submits, batches) = (Arc::clone(steps), Arc::clone(steps));
     GatewayParts {
@@ -199,5 +202,6 @@
         release_weights: Arc::new(|_, _, _| Err(ResultCode::NotFound)),
         registry: registry.clone(),
         objectives: Arc::clone(recorder),
+        refusals: Arc::clone(refusals),
     }
 }
--- a/src/serve/operator_parts.rs
+++ b/src/serve/operator_parts.rs
@@ -4,12 +4,13 @@
 
 use crate::control::ControlHandle;
 use crate::control::configuration_writer::{ChangeError, ConfigurationWriter};
-use crate::generated::caller_messages::{ApplyAnswer, GrantAnswer, RefusalList, TargetView, WithdrawAnswer};
+use crate::generated::caller_messages::{ApplyAnswer, GrantAnswer, TargetView, WithdrawAnswer};
 use crate::generated::process_settings::ProcessSettings;
 use crate::operator::{OperatorFault, OperatorParts};
 use crate::platform::PlatformClient;
 use crate::prelude::*;
 use crate::report::burn_recorder::BurnRecorder;
+use crate::report::refusal_log::RefusalLog;
 
 /// Author that the configuration log names; operators share one token.
 const AUTHOR: &str = "operator";
@@ -33,6 +34,7 @@
     client: &PlatformClient,
     registry: Registry,
     recorder: Arc<BurnRecorder>,
+    refusals: Arc<RefusalLog>,
 ) -> OperatorParts {
     let writer = Arc::new(ConfigurationWriter::new(control.clone(), client.clone()));
     let (grants, withdrawals, placements) = (Arc::clone(&writer), Arc::clone(&writer), Arc::clone(&writer));
@@ -61,7 +63,7 @@
         }),
         usage: Box::new(|_| Err(ResultCode::NotFound.into())),
         burn: Box::new(move || recorder.answer(boot_time())),
-        refusals: Box::new(|| RefusalList { refusals: Vec::new() }),
+        refusals: Box::new(move || refusals.list(boot_time())),
         targets: Box::new(move || target_views(&target_control)),
     }
 }
--- a/tests/integration/traffic_bench.rs
+++ b/tests/integration/traffic_bench.rs
@@ -301,6 +301,7 @@
             release_weights: Arc::new(|_, _, _| Ok(())),
             registry: registry.clone(),
             objectives: Arc::clone(&objectives),
+            refusals: Arc::default(),
         };
         let handler = caller_handler(parts);
         let server = HttpServer::start(&runtime, "127.0.0.1:0", ServerLimits::default(), handler).unwrap();
