--- /dev/null
+++ b/tests/integration/support.rs
@@ -0,0 +1,3 @@
+//! Helpers of several topics.
+
+pub mod control_hosts;
--- /dev/null
+++ b/tests/integration/support/control_hosts.rs
@@ -0,0 +1,77 @@
+//! Hosts with real links and control threads in one process, for tests and the control bench.
+
+use std::time::{Duration, Instant};
+
+use camphorspring::control::configuration_writer::ConfigurationWriter;
+use camphorspring::control::control_thread::{control_frame_handler, create_control};
+use camphorspring::control::{ControlEvent, ControlHandle, ControlSettings, PeerOrigin, start_control};
+use camphorspring::generated::platform_messages::{HostRecord, HostState};
+use camphorspring::peer::{PeerIdentity, PeerNetwork};
+use camphorspring::platform::PlatformClient;
+use tokio::runtime::Handle;
+
+/// Generous limit for conditions that hold within seconds on an idle machine.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+const CLUSTER_TOKEN: &str = "a cluster token for tests";
+
+/// One host.
+pub struct ControlHost {
+    pub origin: PeerOrigin,
+    pub handle: ControlHandle,
+    pub network: PeerNetwork,
+    pub client: PlatformClient,
+}
+
+impl ControlHost {
+    /// Starts a host on an ephemeral port.
+    pub fn start(runtime: &Handle, platform_url: &str, name: &str, failure_domain: &str, incarnation: u64) -> Self {
+        let origin = PeerOrigin { host: name.to_owned(), failure_domain: failure_domain.to_owned(), incarnation };
+        let client = PlatformClient::new(platform_url);
+        let (handle, inbox) = create_control(&origin);
+        let handler = control_frame_handler(handle.clone(), std::sync::Arc::new(|_, _| {}));
+        let identity = PeerIdentity { origin: origin.clone(), cluster_token: CLUSTER_TOKEN.to_owned() };
+        let network = PeerNetwork::start(runtime, "127.0.0.1:0", identity, handler).expect("a port is free");
+        let settings = ControlSettings { origin: origin.clone(), seed: incarnation };
+        start_control(inbox, settings, &client, network.clone()).expect("threads can be started");
+        Self { origin, handle, network, client }
+    }
+
+    /// Entry of the host list.
+    pub fn record(&self) -> HostRecord {
+        let address = self.network.address().to_string();
+        HostRecord {
+            host: self.origin.host.clone(),
+            failure_domain: self.origin.failure_domain.clone(),
+            state: HostState::Live,
+            peer_address: address.clone(),
+            caller_address: address.clone(),
+            operator_address: address,
+        }
+    }
+
+    pub fn writer(&self) -> ConfigurationWriter {
+        ConfigurationWriter::new(self.handle.clone(), self.client.clone())
+    }
+
+    /// Ends the host as a crash would: without any notice.
+    pub fn crash(&self) {
+        self.handle.send(ControlEvent::Stop);
+        self.network.stop();
+    }
+}
+
+impl Drop for ControlHost {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+/// Waits until a condition holds.
+pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT_LIMIT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "waited in vain for: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
