--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,8 +2,10 @@
 
 mod command_line;
 mod gateway;
+mod control_links;
 mod http_bounds;
 mod operator;
 mod report;
 mod settings;
 mod traffic_bench;
+mod support;
