--- a/src/dispatch/home_target.rs
+++ b/src/dispatch/home_target.rs
@@ -74,6 +74,17 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// Counts a permit whose holder is lost. Its request may still run, so it counts as load from elsewhere until a
+    /// report says otherwise; a target that never reports gets the slot back.
+    pub fn lose_permit(&mut self) {
+        self.drop_permit();
+        if self.started_at.is_some() {
+            self.foreign += 1;
+            self.peak = self.in_flight;
+            self.last_peak = self.in_flight;
+        }
+    }
+
     /// Applies a load report; returns whether the target restarted since the last one.
     ///
     /// What it runs beyond the most permits of the last two reports was granted elsewhere: by another home, or by
--- a/src/dispatch/home_upkeep.rs
+++ b/src/dispatch/home_upkeep.rs
@@ -107,6 +107,10 @@
         for key in self.asks.find_open(|key, state| is_lost(view, now, key, state)) {
             if let Some(AskState::Granted(permit)) = self.end_ask(&key, now) {
                 log::info!(target_id = permit.target.as_str(), holder = key.host.as_str(); "permit_expired");
+                if let Some(target) = self.target_mut(&permit.target) {
+                    target.add_permit();
+                    target.lose_permit();
+                }
             }
         }
         self.asks.forget_ended(now);
--- a/src/policy/prefix_index.rs
+++ b/src/policy/prefix_index.rs
@@ -77,10 +77,6 @@
         for hash in prefix_hashes {
             self.touch(now, PrefixPlace { hash: *hash, target });
         }
-        while self.entries.len() > self.limit {
-            let Some((_, oldest)) = self.uses.pop_first() else { break };
-            self.entries.remove(&oldest);
-        }
     }
 
     /// Applies one cache event. Repeated and older events are ignored; after a gap, entries that were not used or
@@ -150,6 +146,10 @@
             self.uses.remove(&old.used);
         }
         self.uses.insert(used, place);
+        while self.entries.len() > self.limit {
+            let Some((_, oldest)) = self.uses.pop_first() else { break };
+            self.entries.remove(&oldest);
+        }
     }
 
     fn remove(&mut self, place: PrefixPlace) {
--- a/tests/integration/dispatch.rs
+++ b/tests/integration/dispatch.rs
@@ -2,4 +2,5 @@
 
 mod faults;
 mod network;
+mod partitions;
 mod threads;
--- a/tests/integration/dispatch/network.rs
+++ b/tests/integration/dispatch/network.rs
@@ -9,6 +9,7 @@
 use camphorspring::control::{ControlView, PeerOrigin};
 use camphorspring::dispatch::dispatch_core::{CoreAction, DispatchCore};
 use camphorspring::dispatch::{PermitAsk, PermitReport};
+use camphorspring::generated::engine_messages::EngineLoad;
 use camphorspring::generated::peer_messages::{PeerFrame, PermitOutcome};
 use camphorspring::generated::platform_messages::{HostRecord, HostState};
 use camphorspring::generated::services_text::{OrganisationEntry, ServiceEntry, ServiceKind, TargetEntry, TargetTier};
@@ -17,7 +18,6 @@
 use rand_chacha::ChaCha8Rng;
 
 pub const SERVICE: &str = "scoring";
-const STEP: Duration = Duration::from_millis(20);
 
 /// A configuration with one service; each target is `(id, failure domain)`.
 pub fn configuration(targets: &[(&str, &str)], bears: u32, slots: u32) -> Configuration {
@@ -160,7 +160,14 @@
     pub running: Vec<RunningPermit>,
     pub results: BTreeMap<(HostId, u64), Vec<Result<TargetId, ResultCode>>>,
     pub most_running: BTreeMap<TargetId, u32>,
+    /// Longest time of a request.
     pub run_time: Duration,
+    /// Whether homes get load reports, each half second and half a second old.
+    pub has_reports: bool,
+    /// Time between two ticks.
+    pub step: Duration,
+    reported: Vec<RunningPermit>,
+    reported_at: BootTime,
     random: ChaCha8Rng,
     flying: Vec<FlyingFrame>,
 }
@@ -184,6 +191,10 @@
             results: BTreeMap::new(),
             most_running: BTreeMap::new(),
             run_time: Duration::from_millis(300),
+            has_reports: false,
+            step: Duration::from_millis(20),
+            reported: Vec::new(),
+            reported_at: now,
             random: ChaCha8Rng::seed_from_u64(seed),
             flying: Vec::new(),
         }
@@ -274,10 +285,11 @@
     }
 
     fn step(&mut self) {
-        self.now += STEP;
+        self.now += self.step;
         self.keep_fresh();
         self.deliver();
         self.finish_runs();
+        self.report_loads();
         for position in 0..self.hosts.len() {
             let now = self.now;
             let state = &mut self.hosts[position];
@@ -356,6 +368,42 @@
         }
     }
 
+    fn report_loads(&mut self) {
+        let age = Duration::from_millis(500);
+        if !self.has_reports || self.now < self.reported_at + age {
+            return;
+        }
+        let old = std::mem::replace(&mut self.reported, self.running.clone());
+        self.reported_at = self.now;
+        for position in 0..self.hosts.len() {
+            let state = &mut self.hosts[position];
+            if state.is_dead || state.is_frozen {
+                continue;
+            }
+            let targets: Vec<TargetId> = state
+                .core
+                .home
+                .shards
+                .iter()
+                .flat_map(|shard| &shard.targets)
+                .map(|target| target.entry.id.clone())
+                .collect();
+            for target in targets {
+                let running = old.iter().filter(|permit| permit.target == target).count();
+                let load = EngineLoad {
+                    age_ms: 500,
+                    running: u32::try_from(running).unwrap(),
+                    staged_version: None,
+                    started_ms: u64::try_from(self.now.as_millis()).unwrap() - 500,
+                    weight_version: 1,
+                };
+                let state = &mut self.hosts[position];
+                let actions = state.core.report_load(&Arc::clone(&state.view), self.now, &target, &load);
+                self.apply(position, actions);
+            }
+        }
+    }
+
     fn apply(&mut self, position: usize, actions: Vec<CoreAction>) {
         for action in actions {
             match action {
@@ -375,7 +423,7 @@
         let outcome = result.as_ref().map(|granted| granted.target.id.clone()).map_err(|code| *code);
         self.results.entry((host.clone(), number)).or_default().push(outcome);
         if let Ok(granted) = result {
-            let ends_at = self.now + self.run_time;
+            let ends_at = self.now + self.run_time.mul_f64(self.random.random_range(0.5..1.0));
             let target = granted.target.id;
             self.running.push(RunningPermit { host, ask: number, ticket: granted.ticket, target, ends_at });
         }
--- /dev/null
+++ b/tests/integration/dispatch/partitions.rs
@@ -0,0 +1,107 @@
+//! A failure domain that is split and joined again while requests run.
+
+use std::time::Duration;
+
+use camphorspring::control::control_view::MemberState;
+use camphorspring::prelude::*;
+use googletest::prelude::*;
+
+use super::network::{SimNetwork, ask, configuration};
+
+const HOSTS: [(&str, &str); 5] =
+    [("host-1", "north"), ("host-2", "north"), ("host-3", "north"), ("host-4", "north"), ("host-5", "north")];
+
+/// Splits the hosts into random groups: links are cut at once, and each host notices within [`DEAD_AFTER`].
+fn split(network: &mut SimNetwork, groups: usize) -> Vec<Notice> {
+    let group: Vec<usize> = HOSTS.iter().map(|_| network.random(groups)).collect();
+    network.cut.clear();
+    for left in 0..HOSTS.len() {
+        for right in 0..left {
+            if group[left] != group[right] {
+                network.cut.push((HOSTS[left].0.to_owned(), HOSTS[right].0.to_owned()));
+            }
+        }
+    }
+    let limit = usize::try_from(DEAD_AFTER.as_millis()).unwrap();
+    let notice = |host: usize, network: &mut SimNetwork| {
+        let at = network.now + Duration::from_millis(network.random(limit) as u64);
+        let seen = (0..HOSTS.len()).filter(|other| group[*other] == group[host]).collect();
+        Notice { host, at, seen }
+    };
+    (0..HOSTS.len()).map(|host| notice(host, network)).collect()
+}
+
+/// A host's new sight of the domain.
+struct Notice {
+    host: usize,
+    at: BootTime,
+    seen: Vec<usize>,
+}
+
+fn apply_notices(network: &mut SimNetwork, notices: &mut Vec<Notice>) {
+    let now = network.now;
+    for notice in notices.extract_if(.., |notice| notice.at <= now) {
+        network.change_view(HOSTS[notice.host].0, |view| {
+            for (member, state) in view.members.iter_mut().enumerate() {
+                let is_seen = notice.seen.contains(&member);
+                state.state = if is_seen { MemberState::Live } else { MemberState::Dead };
+            }
+        });
+    }
+}
+
+/// Guards against a fresh target that gets more than it bears when a domain is split: from two homes, from a home
+/// that dropped a permit whose request still runs, or from one that does not count the permits of a former home.
+#[googletest::test]
+fn fresh_target_is_never_overloaded_by_partitions() {
+    for seed in 0..12 {
+        for bears in [1, 3] {
+            let mut network = SimNetwork::new(seed, &HOSTS, configuration(&[("t1", "north")], bears, bears));
+            network.has_reports = true;
+            network.step = Duration::from_millis(100);
+            network.run_time = Duration::from_secs(if seed % 2 == 0 { 2 } else { 30 });
+            network.run(SHARE_SETTLE + Duration::from_secs(1));
+            for round in 0..4 {
+                let groups = if round % 2 == 0 { 3 } else { 1 };
+                let mut notices = split(&mut network, groups);
+                for _ in 0..80 {
+                    let host = HOSTS[network.random(HOSTS.len())].0;
+                    network.start(host, ask("small"));
+                    network.run(Duration::from_millis(500));
+                    apply_notices(&mut network, &mut notices);
+                }
+            }
+            let most = network.most_running.get("t1").copied().unwrap_or_default();
+            expect_that!(most, all!(ge(1), le(bears)), "seed {seed}, bears {bears}");
+        }
+    }
+}
+
+/// Guards against a home that was paused, has been replaced meanwhile, and goes on granting by its old view.
+#[googletest::test]
+fn resumed_home_grants_nothing_by_its_old_view() {
+    for seed in 0..6 {
+        let mut network = SimNetwork::new(seed, &HOSTS, configuration(&[("t1", "north")], 1, 1));
+        network.step = Duration::from_millis(100);
+        network.run_time = Duration::from_secs(6);
+        network.run(SHARE_SETTLE + Duration::from_secs(1));
+        let home = network.home();
+        let position = network.position(&home);
+        network.hosts[position].is_frozen = true;
+        network.run(DEAD_AFTER);
+        network.see_dead(&home);
+        network.run(SHARE_SETTLE + Duration::from_secs(1));
+        let others = HOSTS.iter().map(|(name, _)| *name).filter(|name| *name != home);
+        for host in others.clone() {
+            network.start(host, ask("small"));
+        }
+        network.run(Duration::from_secs(1));
+        network.hosts[position].is_frozen = false;
+        network.start(&home, ask("small"));
+        for host in others {
+            network.start(host, ask("small"));
+        }
+        network.run(Duration::from_secs(4));
+        expect_that!(network.most_running.get("t1"), some(eq(&1)), "seed {seed}");
+    }
+}
