--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,8 +2,10 @@
 
 mod command_line;
 mod dispatch;
+mod gateway;
 mod http_bounds;
 mod operator;
 mod policy;
 mod report;
 mod settings;
+mod traffic_bench;
