Run requests that may not be repeated at most once

Cause: bookings had no claim, so a repeated request could run twice. Change: a pure machine claims the row before the first byte is sent, settles lost writes by its token, closes the row as done, unknown or void, and leaves the rest to a background thread; the gateway runs such routes through it and gives the outcome of a claim to its own organisation.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! Every refusal has a numbered code in an error body.
 
 pub mod caller_key;
+pub mod claimed_routes;
 pub mod completions;
 pub mod event_stream;
 pub mod objective_counters;
@@ -30,6 +31,7 @@
 use crate::http_server::{HttpReply, HttpRequest, RequestHandler};
 use crate::platform::PlatformClient;
 use crate::prelude::*;
+use crate::traffic::claim_store::ClaimStore;
 use crate::traffic::engine_runner::EngineParts;
 
 /// Function that accepts a step.
@@ -68,6 +70,7 @@
     pub(crate) metrics: Arc<RequestMetrics>,
     pub(crate) completions: Arc<CompletionBoard>,
     pub(crate) pages: Arc<PageBoard>,
+    pub(crate) claims: Arc<ClaimStore>,
     next_id: AtomicU64,
 }
 
@@ -75,11 +78,14 @@
 #[must_use]
 pub fn caller_handler(parts: GatewayParts) -> RequestHandler {
     let metrics = Arc::new(RequestMetrics::new(&parts.registry));
+    let (view, clock) = (Arc::clone(&parts.engine.view), Arc::clone(&parts.engine.clock));
+    let claims = ClaimStore::start(parts.platform.clone(), view, clock);
     let gateway = Arc::new(Gateway {
         parts,
         metrics,
         completions: Arc::new(CompletionBoard::default()),
         pages: Arc::new(PageBoard::default()),
+        claims,
         next_id: AtomicU64::new(1),
     });
     Arc::new(move |request| handle_request(&gateway, &request))
@@ -213,6 +219,10 @@
             allow(method, &["POST"])?;
             step_routes::answer_release(context, trace, service)
         }
+        ["requests", key] => {
+            allow(method, &["GET"])?;
+            claimed_routes::answer_outcome(context, trace, key)
+        }
         _ => Err(ResultCode::NotFound),
     }
 }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -1,5 +1,7 @@
 //! Carrying requests to targets: streams, retries, coalescing, claims and quarantine.
 
+pub mod claim_state;
+pub mod claim_store;
 pub mod coalescing;
 pub mod engine_client;
 pub mod engine_runner;
--- a/src/traffic/plain_runner.rs
+++ b/src/traffic/plain_runner.rs
@@ -4,6 +4,7 @@
 use crate::generated::peer_messages::PermitOutcome;
 use crate::prelude::*;
 use crate::traffic::engine_runner::{EngineParts, RunStop};
+use crate::traffic::idle_transport::StopCheck;
 use crate::traffic::plain_client::{PlainAnswer, PlainFault, PlainRequest, send_plain};
 use crate::traffic::retry_policy::{ATTEMPT_LIMIT, AttemptPlace};
 use crate::usage::UsageEvent;
@@ -150,9 +151,8 @@
 
     fn send(&mut self, permit: Permit) -> Result<PlainAnswer, PlainFault> {
         let started_at = (self.parts.clock)();
-        let limit = self.run.answer_limit.min((self.stop.deadline)().saturating_sub(started_at));
-        let limit = limit.max(Duration::from_millis(1));
-        let result = send_plain(&permit.target.address, &self.run.request, limit, Arc::clone(&self.stop.check));
+        let (limit, check) = self.exchange_limits(started_at);
+        let result = send_plain(&permit.target.address, &self.run.request, limit, check);
         let total = (self.parts.clock)().saturating_sub(started_at);
         self.is_sent |= result != Err(PlainFault::NotSent);
         let place = AttemptPlace { service: &self.run.service, failure_domain: &permit.target.failure_domain };
@@ -170,6 +170,16 @@
         result
     }
 
+    /// A request that may not be repeated is not interrupted once it is sent: that would only make its outcome
+    /// unknown.
+    fn exchange_limits(&self, now: BootTime) -> (Duration, StopCheck) {
+        if !self.run.is_repeatable {
+            return (self.run.answer_limit, Arc::new(|| None));
+        }
+        let left = (self.stop.deadline)().saturating_sub(now).max(Duration::from_millis(1));
+        (self.run.answer_limit.min(left), Arc::clone(&self.stop.check))
+    }
+
     fn charge(&self, is_complete: bool) {
         if !self.is_sent {
             return;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests by topic.
 
+mod claims_model;
 mod command_line;
 mod gateway;
 mod http_bounds;
