--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,13 +1,14 @@
 //! Integration tests by topic.
 
+mod claims_model;
 mod command_line;
+mod control_links;
 mod dispatch;
 mod gateway;
-mod control_links;
 mod http_bounds;
 mod operator;
 mod policy;
 mod report;
 mod settings;
-mod traffic_bench;
 mod support;
+mod traffic_bench;
