--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! Every refusal has a numbered code in an error body.
 
 pub mod caller_key;
+pub mod claimed_routes;
 pub mod completions;
 pub mod event_stream;
 pub mod paths;
@@ -29,6 +30,8 @@
 use crate::platform::PlatformClient;
 use crate::prelude::*;
 use crate::report::burn_recorder::BurnRecorder;
+use crate::report::refusal_log::RefusalLog;
+use crate::traffic::claim_store::ClaimStore;
 use crate::traffic::engine_runner::EngineParts;
 
 /// Function that accepts a step.
@@ -59,6 +62,8 @@
     pub registry: Registry,
     /// Counts requests against their objectives.
     pub objectives: Arc<BurnRecorder>,
+    /// Keeps recent refusals.
+    pub refusals: Arc<RefusalLog>,
 }
 
 /// State shared by all requests.
@@ -67,6 +72,7 @@
     pub(crate) metrics: Arc<RequestMetrics>,
     pub(crate) completions: Arc<CompletionBoard>,
     pub(crate) pages: Arc<PageBoard>,
+    pub(crate) claims: Arc<ClaimStore>,
     next_id: AtomicU64,
 }
 
@@ -74,11 +80,14 @@
 #[must_use]
 pub fn caller_handler(parts: GatewayParts) -> RequestHandler {
     let metrics = Arc::new(RequestMetrics::new(&parts.registry));
+    let (view, clock) = (Arc::clone(&parts.engine.view), Arc::clone(&parts.engine.clock));
+    let claims = ClaimStore::start(parts.platform.clone(), view, clock);
     let gateway = Arc::new(Gateway {
         parts,
         metrics,
         completions: Arc::new(CompletionBoard::default()),
         pages: Arc::new(PageBoard::default()),
+        claims,
         next_id: AtomicU64::new(1),
     });
     Arc::new(move |request| handle_request(&gateway, &request))
@@ -212,6 +221,10 @@
             allow(method, &["POST"])?;
             step_routes::answer_release(context, trace, service)
         }
+        ["requests", key] => {
+            allow(method, &["GET"])?;
+            claimed_routes::answer_outcome(context, trace, key)
+        }
         _ => Err(ResultCode::NotFound),
     }
 }
