--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,12 +1,17 @@
 //! Integration tests by topic.
 
+mod claims_model;
 mod command_line;
+mod control_links;
+mod dispatch;
 mod gateway;
 mod http_bounds;
 mod memory_store;
 mod operator;
+mod policy;
 mod report;
 mod samples;
 mod settings;
+mod support;
 mod traffic_bench;
 mod usage;
