Publish weights to targets, and rank hosts for resources in one place

Cause: a released version must reach all targets under the weight store's limit and switch together. Change: release row that only increases; pure plan of staging and switching; publisher with epochs, probes and a list of targets that are behind; keeper per host. Ranks of shards, windows and weights use the same rendezvous hashing.

--- a/src/samples.rs
+++ b/src/samples.rs
@@ -1,9 +1,11 @@
 //! Steps of trainers: accepting them, generating and grading their samples in shards, and delivering each sample once.
 //!
 //! All durable state is in the store (`step_rows` lists it), so that any host can accept a step, run a shard or deliver
-//! a batch. `shard_plan` decides what runs and what is written; `shard_runner` does the I/O around it.
+//! a batch. `shard_plan` decides what runs and what is written; `shard_runner` does the I/O around it. The same modules
+//! publish the weights that the samples are made with.
 
 pub mod batch_delivery;
+pub mod host_rank;
 pub mod plain_grader;
 pub mod sample_metrics;
 pub mod sample_worker;
@@ -16,6 +18,10 @@
 pub mod step_rows;
 pub mod step_spec;
 pub mod step_submission;
+pub mod weight_keeper;
+pub mod weight_plan;
+pub mod weight_publisher;
+pub mod weight_release;
 pub mod weight_version;
 
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -32,6 +38,7 @@
 use crate::samples::sample_worker::GraderSource;
 use crate::samples::shard_keeper::ShardKeeper;
 use crate::samples::shard_run::{ShardContext, ShardLimits};
+use crate::samples::weight_keeper::WeightKeeper;
 use crate::traffic::EngineRunner;
 
 /// Period of the shard keeper.
@@ -89,6 +96,22 @@
         batch_delivery::next_batch(&self.context.store, &self.context.clock, &self.metrics, &ask)
     }
 
+    /// Releases a weight version; see [`weight_release::release_weights`].
+    ///
+    /// # Errors
+    ///
+    /// The service does not exist, a newer version is present, or the store gave no result.
+    pub fn release_weights(&self, service: &str, version: WeightVersion) -> Result<(), ResultCode> {
+        weight_release::release_weights(&self.context.control, &self.context.store, service, version)
+    }
+
+    /// Keeper of the weights of services, to be started beside the shard keeper.
+    #[must_use]
+    pub fn weight_keeper(&self) -> WeightKeeper {
+        let ShardContext { control, store, clock, .. } = self.context.clone();
+        WeightKeeper::new(control, store, clock)
+    }
+
     /// Starts the thread that takes and runs shards. It ends after `stop` is set; running shards go on until they are
     /// complete or their claim is lost.
     ///
--- a/src/samples/shard_discovery.rs
+++ b/src/samples/shard_discovery.rs
@@ -4,9 +4,9 @@
 //! hosts for each shard, and only the first few hosts want a shard at once, so that the others do not all try to take
 //! it too; after a while every host may want it. A wish that was not fulfilled in time is given up for another shard.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
+use crate::policy::shard_map::rendezvous_hash;
 use crate::prelude::*;
+use crate::samples::host_rank::host_rank;
 use crate::samples::step_rows::ShardName;
 
 /// Most shards that a host runs or waits for at one time.
@@ -101,13 +101,13 @@
         let mut candidates = Vec::new();
         for name in open {
             let waited = now.saturating_sub(self.note_seen(&name, now));
-            let may_want = waited >= RANK_PATIENCE || rank_of(host, hosts, &name) < RANKS_AT_ONCE;
+            let may_want = waited >= RANK_PATIENCE || host_rank(&name.resource(), host, hosts) < RANKS_AT_ONCE;
             if may_want && !self.is_known(&name) {
                 candidates.push(name);
             }
         }
         self.seen.retain(|seen| now.saturating_sub(seen.last_seen) < SEEN_LIMIT);
-        candidates.sort_by_key(|name| preference(host, name));
+        candidates.sort_by_key(|name| std::cmp::Reverse(rendezvous_hash(&name.resource(), host)));
         candidates.truncate(self.free_wishes());
         for name in &candidates {
             self.wishes.push(ShardWish { name: name.clone(), since: now, is_running: false });
@@ -152,15 +152,3 @@
         &self.wishes
     }
 }
-
-/// Position of `host` among `hosts` in the order in which they prefer the shard.
-fn rank_of(host: &str, hosts: &[HostId], name: &ShardName) -> usize {
-    let own = preference(host, name);
-    hosts.iter().filter(|other| preference(other, name) < own).count()
-}
-
-fn preference(host: &str, name: &ShardName) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (host, &name.trainer, name.step, name.shard).hash(&mut hasher);
-    hasher.finish()
-}
--- a/src/samples/shard_keeper.rs
+++ b/src/samples/shard_keeper.rs
@@ -3,8 +3,8 @@
 use std::sync::Mutex;
 
 use crate::control::{ControlEvent, ControlView};
-use crate::generated::platform_messages::HostState;
 use crate::prelude::*;
+use crate::samples::host_rank::live_hosts;
 use crate::samples::shard_discovery::{DiscoveryAction, ShardWishes};
 use crate::samples::shard_run::ShardContext;
 use crate::samples::shard_runner::run_shard;
@@ -43,7 +43,7 @@
         if is_due && may_take_shards(&view) && self.lock_wishes().free_wishes() > 0 {
             self.last_look = Some(now);
             let open = self.read_page();
-            actions.extend(self.lock_wishes().add_wishes(&view.host, &shard_hosts(&view), open, now));
+            actions.extend(self.lock_wishes().add_wishes(&view.host, &live_hosts(&view), open, now));
         }
         for action in actions {
             self.apply(action);
@@ -104,13 +104,3 @@
     let is_domain_used = view.configuration.targets.iter().any(|target| target.failure_domain == view.failure_domain);
     is_domain_used && !view.is_leaving
 }
-
-/// Hosts that may take shards by the host list, this host included.
-fn shard_hosts(view: &ControlView) -> Vec<HostId> {
-    let live = view.listed.iter().filter(|record| record.state == HostState::Live);
-    let mut hosts: Vec<HostId> = live.map(|record| record.host.clone()).collect();
-    hosts.push(view.host.clone());
-    hosts.sort_unstable();
-    hosts.dedup();
-    hosts
-}
--- a/src/usage/usage_keeper.rs
+++ b/src/usage/usage_keeper.rs
@@ -9,7 +9,9 @@
 use crate::generated::platform_messages::HostState;
 use crate::peer::FrameSender;
 use crate::platform::store_access::StoreAccess;
+use crate::policy::shard_map::rendezvous_hash;
 use crate::prelude::*;
+use crate::samples::host_rank::live_hosts;
 use crate::usage::increment_writer::{IncrementOutcome, write_increment};
 use crate::usage::replica_table::ReplicaTable;
 use crate::usage::usage_ledger::{UnflushedRow, UsageLedger};
@@ -296,18 +298,6 @@
     peer.map(|record| record.host.clone())
 }
 
-fn live_hosts(view: &ControlView) -> Vec<HostId> {
-    let live = view.listed.iter().filter(|record| record.state == HostState::Live);
-    live.map(|record| record.host.clone()).collect()
-}
-
-fn rendezvous_hash(left: &str, right: &str) -> u64 {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-    let mut hasher = DefaultHasher::new();
-    (left, right).hash(&mut hasher);
-    hasher.finish()
-}
-
 fn is_due(last: &Mutex<Option<BootTime>>, period: Duration, now: BootTime) -> bool {
     let mut last = lock(last);
     let is_due = last.is_none_or(|last| now.saturating_sub(last) >= period);
--- a/src/usage/window_plan.rs
+++ b/src/usage/window_plan.rs
@@ -3,10 +3,9 @@
 //! Rendezvous hashing ranks the hosts for each window. The first one wants a window at once, each further one some time
 //! later, so that windows are reported whichever hosts are alive without all hosts competing for each of them.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use crate::prelude::*;
-use crate::usage::usage_rows::WindowStart;
+use crate::samples::host_rank::host_rank;
+use crate::usage::usage_rows::{WindowStart, window_resource};
 
 /// Time between two ranks; a dead owner's lease has ended by then.
 const RANK_DELAY: Duration = Duration::from_secs(20);
@@ -40,7 +39,7 @@
         }
         self.wanted.retain(|window| open.contains(window));
         for window in open {
-            let rank = hosts.iter().filter(|other| preference(other, window) < preference(host, window)).count();
+            let rank = host_rank(&window_resource(window), host, hosts);
             let rank = u64::try_from(rank).unwrap_or(u64::MAX);
             let delay = USAGE_WINDOW + USAGE_FREEZE_DELAY;
             let due = window + delay.as_secs() + rank.saturating_mul(RANK_DELAY.as_secs());
@@ -67,9 +66,3 @@
         &self.wanted
     }
 }
-
-fn preference(host: &str, window: WindowStart) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (host, window).hash(&mut hasher);
-    hasher.finish()
-}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -15,3 +15,4 @@
 mod support;
 mod traffic_bench;
 mod usage;
+mod weights;
--- /dev/null
+++ b/tests/integration/weights.rs
@@ -0,0 +1,216 @@
+//! Weights: a released version reaches all targets, and an owner that was replaced changes nothing.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::sync_channel;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use camphorspring::clock::{BootTime, boot_time};
+use camphorspring::control::configuration::Configuration;
+use camphorspring::control::control_view::OwnedResource;
+use camphorspring::control::{ControlHandle, ControlView};
+use camphorspring::generated::engine_messages::OrderAction;
+use camphorspring::generated::services_text::{ServiceKind, TargetEntry};
+use camphorspring::options::services_text::parse_services;
+use camphorspring::result_code::ResultCode;
+use camphorspring::samples::weight_plan::BehindTarget;
+use camphorspring::samples::weight_publisher::WeightPublisher;
+use camphorspring::samples::weight_release::release_weights;
+use camphorspring_standins::engine::{EngineControl, EngineOptions, EngineStandin};
+use camphorspring_standins::weight_store::{WeightStoreOptions, WeightStoreStandin};
+use googletest::prelude::*;
+
+use crate::memory_store::{FaultyClient, LIVE_FAULTS, MemoryStore, StoreFault};
+
+/// Engines of one service, and publishers of its weights.
+struct WeightWorld {
+    store: Arc<MemoryStore>,
+    engines: Vec<EngineStandin>,
+    configuration: Arc<Configuration>,
+}
+
+struct TestPublisher {
+    publisher: WeightPublisher,
+    behind: Arc<Mutex<Vec<BehindTarget>>>,
+}
+
+impl WeightWorld {
+    fn new(count: usize, options: &EngineOptions) -> Self {
+        let engines: Vec<EngineStandin> = (0..count).map(|_| EngineStandin::start(options.clone()).unwrap()).collect();
+        let text = include_str!("settings/valid/two_domains.yaml");
+        let services = parse_services(text).unwrap();
+        let pattern = services.targets[0].clone();
+        let target = |(number, engine): (usize, &EngineStandin)| TargetEntry {
+            id: format!("score-{number:02}"),
+            address: engine.url().trim_start_matches("http://").to_owned(),
+            ..pattern.clone()
+        };
+        let mut configuration = Configuration {
+            services: services.services,
+            targets: engines.iter().enumerate().map(target).collect(),
+            ..Configuration::default()
+        };
+        configuration.services.sort_by(|left, right| left.name.cmp(&right.name));
+        Self { store: Arc::default(), engines, configuration: Arc::new(configuration) }
+    }
+
+    fn view(&self, epoch: u64) -> ControlView {
+        let mut view = ControlView::empty("host-a", "north", 1);
+        view.configuration = self.configuration.clone();
+        let name = "weights/scoring".to_owned();
+        view.owned = vec![OwnedResource { name, epoch, row_version: epoch, valid_until: BootTime::MAX }];
+        view
+    }
+
+    fn control(&self, epoch: u64) -> ControlHandle {
+        ControlHandle::new(Arc::new(ArcSwap::from_pointee(self.view(epoch))), sync_channel(16).0)
+    }
+
+    fn publisher(&self, epoch: u64) -> TestPublisher {
+        let behind: Arc<Mutex<Vec<BehindTarget>>> = Arc::default();
+        let sink = behind.clone();
+        let store = FaultyClient::new(&self.store, &[]).access();
+        let publisher = WeightPublisher::new(
+            "scoring",
+            self.control(epoch),
+            store,
+            Arc::new(boot_time),
+            Arc::new(move |_, targets| *sink.lock().unwrap() = targets),
+        );
+        TestPublisher { publisher, behind }
+    }
+
+    fn release(&self, version: u64) -> std::result::Result<(), ResultCode> {
+        let store = FaultyClient::new(&self.store, &[]).access();
+        release_weights(&self.control(1), &store, "scoring", version)
+    }
+
+    fn versions(&self) -> Vec<u64> {
+        self.engines.iter().map(EngineStandin::weight_version).collect()
+    }
+}
+
+impl TestPublisher {
+    /// Lets the publisher work until a condition holds, for at most 30 s.
+    fn work_until(&mut self, condition: impl Fn(&[BehindTarget]) -> bool) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_secs(30) {
+            self.publisher.advance();
+            if condition(&self.behind.lock().unwrap()) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        false
+    }
+}
+
+/// Guards against a release that overloads the weight store so that targets never stage it, and against targets that
+/// switch long before the others are ready.
+#[googletest::test]
+fn released_version_reaches_all_targets_within_the_store_limit() {
+    let weights = WeightStoreStandin::start(WeightStoreOptions { reads_per_second: 5, ..Default::default() }).unwrap();
+    weights.set_latest(2);
+    let options = EngineOptions { weight_store_url: Some(weights.url()), ..EngineOptions::default() };
+    let world = WeightWorld::new(8, &options);
+    world.release(2).unwrap();
+    let mut publisher = world.publisher(1);
+    expect_that!(publisher.work_until(|_| world.versions().contains(&2)), eq(true));
+    let are_all_staged = world.engines.iter().all(|engine| {
+        let orders = engine.records().orders;
+        orders.iter().any(|trace| trace.order.action == OrderAction::StageWeights)
+    });
+    expect_that!(are_all_staged, eq(true));
+    expect_that!(publisher.work_until(<[BehindTarget]>::is_empty), eq(true));
+    expect_that!(world.versions(), each(eq(&2)));
+}
+
+/// Guards against a target that stays on its old version, or is not listed as behind, after a failed switch.
+#[googletest::test]
+fn failed_switch_is_listed_and_repeated() {
+    let world = WeightWorld::new(3, &EngineOptions::default());
+    world.engines[1].control(EngineControl::FailSwitches { count: 2 });
+    world.release(2).unwrap();
+    let mut publisher = world.publisher(1);
+    let is_only_second_behind = |behind: &[BehindTarget]| behind.len() == 1 && behind[0].target == "score-01";
+    expect_that!(publisher.work_until(is_only_second_behind), eq(true));
+    expect_that!(world.versions(), eq(&vec![2, 1, 2]));
+    expect_that!(publisher.work_until(<[BehindTarget]>::is_empty), eq(true));
+    expect_that!(world.versions(), each(eq(&2)));
+}
+
+/// Guards against a restarted target that serves its initial weights until the next release.
+#[googletest::test]
+fn restarted_target_is_staged_again() {
+    let world = WeightWorld::new(2, &EngineOptions::default());
+    world.release(3).unwrap();
+    let mut publisher = world.publisher(1);
+    expect_that!(publisher.work_until(<[BehindTarget]>::is_empty), eq(true));
+    world.engines[0].crash();
+    world.engines[0].restart();
+    expect_that!(world.engines[0].weight_version(), eq(1));
+    expect_that!(publisher.work_until(|_| world.engines[0].weight_version() == 3), eq(true));
+}
+
+/// Guards against an owner that was replaced and brings an old version back: targets that check the fencing number
+/// refuse its orders.
+#[googletest::test]
+fn replaced_owner_is_refused_by_targets_that_check() {
+    let world = WeightWorld::new(2, &EngineOptions { checks_fencing: true, ..EngineOptions::default() });
+    world.release(2).unwrap();
+    let mut successor = world.publisher(2);
+    expect_that!(successor.work_until(<[BehindTarget]>::is_empty), eq(true));
+    world.release(3).unwrap();
+    let mut replaced = world.publisher(1);
+    let is_refused = |_: &[BehindTarget]| {
+        world.engines.iter().all(|engine| engine.records().orders.iter().any(|trace| !trace.accepted))
+    };
+    expect_that!(replaced.work_until(is_refused), eq(true));
+    expect_that!(world.versions(), each(eq(&2)));
+}
+
+/// Guards against a release that goes back, or that is refused although it took effect, when a store call fails.
+#[googletest::test]
+fn released_version_only_increases_with_faults() {
+    let problems = Mutex::new(Vec::new());
+    let next = AtomicUsize::new(0);
+    let cases: Vec<(u64, StoreFault)> =
+        (0..3).flat_map(|call| LIVE_FAULTS.iter().map(move |fault| (call, *fault))).collect();
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                while let Some(case) = cases.get(next.fetch_add(1, Ordering::SeqCst)) {
+                    problems.lock().unwrap().extend(release_with(*case));
+                }
+            });
+        }
+    });
+    expect_that!(problems.into_inner().unwrap(), is_empty());
+}
+
+fn release_with(fault: (u64, StoreFault)) -> Vec<String> {
+    let world = WeightWorld::new(0, &EngineOptions::default());
+    let client = FaultyClient::new(&world.store, &[fault]);
+    let control = world.control(1);
+    let mut first = Err(ResultCode::StoreUnavailable);
+    for _ in 0..3 {
+        first = first.or_else(|_| release_weights(&control, &client.access(), "scoring", 5));
+    }
+    client.thaw();
+    let older = world.release(4);
+    let row = world.store.read("weights", "scoring").map(|row| row.value);
+    let is_right =
+        first.is_ok() && older == Err(ResultCode::ConfigurationConflict) && row.as_deref() == Some("{\"version\":5}");
+    if is_right { Vec::new() } else { vec![format!("{fault:?}: {first:?} {older:?} {row:?}")] }
+}
+
+/// Guards against weights of services that have none.
+#[googletest::test]
+fn release_for_a_plain_service_is_refused() {
+    let world = WeightWorld::new(0, &EngineOptions::default());
+    let is_plain = world.configuration.service("grading").map(|entry| entry.kind) == Some(ServiceKind::Plain);
+    expect_that!(is_plain, eq(true));
+    let store = FaultyClient::new(&world.store, &[]).access();
+    expect_that!(release_weights(&world.control(1), &store, "grading", 1), err(eq(ResultCode::NotFound)));
+}
