--- a/tests/integration/weights.rs
+++ b/tests/integration/weights.rs
@@ -10,11 +10,12 @@
 use camphorspring::control::configuration::Configuration;
 use camphorspring::control::control_view::OwnedResource;
 use camphorspring::control::{ControlHandle, ControlView};
-use camphorspring::generated::engine_messages::OrderAction;
+use camphorspring::generated::engine_messages::EngineLoad;
 use camphorspring::generated::services_text::{ServiceKind, TargetEntry};
 use camphorspring::options::services_text::parse_services;
+use camphorspring::platform::http_agent;
 use camphorspring::result_code::ResultCode;
-use camphorspring::samples::weight_plan::BehindTarget;
+use camphorspring::samples::weight_plan::{BehindTarget, OrderOutcome, WeightAction, WeightOrder, WeightPlan};
 use camphorspring::samples::weight_publisher::WeightPublisher;
 use camphorspring::samples::weight_release::release_weights;
 use camphorspring_standins::engine::{EngineControl, EngineOptions, EngineStandin};
@@ -91,6 +92,24 @@
     }
 }
 
+impl WeightWorld {
+    /// Replaces an engine by another one at the same place.
+    fn replace_engine(&mut self, position: usize, options: &EngineOptions) {
+        let engine = EngineStandin::start(options.clone()).unwrap();
+        let mut configuration = Configuration::clone(&self.configuration);
+        engine.url().trim_start_matches("http://").clone_into(&mut configuration.targets[position].address);
+        self.engines[position] = engine;
+        self.configuration = Arc::new(configuration);
+    }
+
+    fn staged_version(&self, position: usize) -> Option<u64> {
+        let url = format!("{}/v1/load", self.engines[position].url());
+        let mut response = http_agent(Duration::from_secs(1), Duration::from_secs(1)).get(url).call().unwrap();
+        let load: EngineLoad = serde_json::from_slice(&response.body_mut().read_to_vec().unwrap()).unwrap();
+        load.staged_version
+    }
+}
+
 impl TestPublisher {
     /// Lets the publisher work until a condition holds, for at most 30 s.
     fn work_until(&mut self, condition: impl Fn(&[BehindTarget]) -> bool) -> bool {
@@ -106,8 +125,7 @@
     }
 }
 
-/// Guards against a release that overloads the weight store so that targets never stage it, and against targets that
-/// switch long before the others are ready.
+/// Guards against a release that overloads the weight store so that targets never stage it.
 #[googletest::test]
 fn released_version_reaches_all_targets_within_the_store_limit() {
     let weights = WeightStoreStandin::start(WeightStoreOptions { reads_per_second: 5, ..Default::default() }).unwrap();
@@ -116,16 +134,56 @@
     let world = WeightWorld::new(8, &options);
     world.release(2).unwrap();
     let mut publisher = world.publisher(1);
-    expect_that!(publisher.work_until(|_| world.versions().contains(&2)), eq(true));
-    let are_all_staged = world.engines.iter().all(|engine| {
-        let orders = engine.records().orders;
-        orders.iter().any(|trace| trace.order.action == OrderAction::StageWeights)
-    });
-    expect_that!(are_all_staged, eq(true));
     expect_that!(publisher.work_until(<[BehindTarget]>::is_empty), eq(true));
     expect_that!(world.versions(), each(eq(&2)));
 }
 
+/// Guards against targets that switch while others are still staging, so that a step is served by two versions for
+/// longer than needed: one engine stages slowly.
+#[googletest::test]
+fn targets_switch_together() {
+    let mut world = WeightWorld::new(3, &EngineOptions::default());
+    let slow = EngineOptions { stage_time: Duration::from_secs(1), ..EngineOptions::default() };
+    world.replace_engine(0, &slow);
+    world.release(2).unwrap();
+    let mut publisher = world.publisher(1);
+    expect_that!(publisher.work_until(|_| world.versions().contains(&2)), eq(true));
+    let is_switched = world.engines[0].weight_version() == 2;
+    expect_that!(is_switched || world.staged_version(0) == Some(2), eq(true));
+    expect_that!(publisher.work_until(<[BehindTarget]>::is_empty), eq(true));
+}
+
+/// Guards against stagings that go on at full number while the weight store refuses them: 200 targets are staged in
+/// virtual time from a store that allows 20 reads a second. Each staging takes 0.1 s.
+#[googletest::test]
+fn stagings_adapt_to_the_weight_store() {
+    let targets: Vec<String> = (0..200).map(|number| format!("score-{number:03}")).collect();
+    let mut plan = WeightPlan::new();
+    plan.set_targets(&targets);
+    plan.set_wanted(2, Duration::ZERO);
+    let mut running: Vec<(Duration, WeightAction)> = Vec::new();
+    let (mut allowed, mut refused) = (0.0_f64, 0);
+    let mut now = Duration::ZERO;
+    while !plan.behind().is_empty() && now < Duration::from_mins(2) {
+        now += Duration::from_millis(10);
+        allowed = (allowed + 0.2).min(20.0);
+        for (_, action) in running.extract_if(.., |(end, _)| *end <= now) {
+            let is_refused = action.order == WeightOrder::Stage && allowed < 1.0;
+            if action.order == WeightOrder::Stage && !is_refused {
+                allowed -= 1.0;
+            }
+            refused += u32::from(is_refused);
+            let outcome = if is_refused { OrderOutcome::Failed } else { OrderOutcome::Done };
+            plan.take_outcome(&action, outcome, now);
+        }
+        let end = now + Duration::from_millis(100);
+        running.extend(plan.next_actions(now).into_iter().map(|action| (end, action)));
+    }
+    expect_that!(plan.behind(), is_empty());
+    expect_that!(now, le(Duration::from_secs(20)));
+    expect_that!(refused, le(100));
+}
+
 /// Guards against a target that stays on its old version, or is not listed as behind, after a failed switch.
 #[googletest::test]
 fn failed_switch_is_listed_and_repeated() {
