Order targets from demand, price and tier

Cause: targets cost money and start or stop per failure domain on our order. Change: pure plan with a peak over 30 s, one firm target, cheapest slots first, 60 s hysteresis and drains; keeper that writes the intent first and repeats orders under one id; client of the platform with other time limits.

--- a/src/orders.rs
+++ b/src/orders.rs
@@ -1,1 +1,5 @@
-//! Target orders by failure domain.
+//! Target orders: which targets of a failure domain run, by demand and cost.
+
+pub mod order_intent;
+pub mod order_keeper;
+pub mod order_plan;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -51,7 +51,12 @@
     /// Client of the platform at `base_url`, such as `http://127.0.0.1:7000`.
     #[must_use]
     pub fn new(base_url: &str) -> Self {
-        let agent = http_agent(CONNECT_LIMIT, PLATFORM_LIMIT);
+        Self::with_agent(base_url, http_agent(CONNECT_LIMIT, PLATFORM_LIMIT))
+    }
+
+    /// Client of the platform at `base_url` with other time limits.
+    #[must_use]
+    pub fn with_agent(base_url: &str, agent: Agent) -> Self {
         Self { base_url: base_url.trim_end_matches('/').to_owned(), agent }
     }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod http_bounds;
 mod memory_store;
 mod operator;
+mod orders;
 mod policy;
 mod report;
 mod samples;
