Strengthen the order tests with later effects and a small first set

Cause: the resource check and the version check of the intent could both be taken out without a failing test. Change: a write may take effect one call later than before; the fault table starts from a small intent and changes demand five times; the replaced owner has something to change. Scratch edits that fail: no wait of the successor, no reload after an uncertain write, no repeat of an unanswered order (orders_follow_the_intent), no resource check (replaced_owner), stop while working, no firm target, no hysteresis (plan tests). The version check of the intent alone could not be seen to matter. Conclusion: all mechanisms but that one are needed by a test.

--- a/tests/integration/memory_store.rs
+++ b/tests/integration/memory_store.rs
@@ -78,6 +78,8 @@
     LostAnswer,
     /// The answer is lost, and the call takes effect only at the client's call after the next.
     LateEffect,
+    /// The same, one call later.
+    LaterEffect,
     /// This call and the next five fail with lost requests.
     Outage,
     /// The process of the client dies before the call: this and all later calls have no effect.
@@ -179,12 +181,13 @@
                 effect(&self.store);
                 Err(PlatformFault::AnswerLost)
             }
-            Some(StoreFault::LateEffect) => {
+            Some(fault @ (StoreFault::LateEffect | StoreFault::LaterEffect)) => {
+                let wait = if fault == StoreFault::LateEffect { 2 } else { 3 };
                 let store = self.store.clone();
                 let call = Box::new(move || {
                     effect(&store);
                 });
-                self.late.lock().unwrap().push((number + 2, call));
+                self.late.lock().unwrap().push((number + wait, call));
                 Err(PlatformFault::AnswerLost)
             }
             Some(StoreFault::Killed) => {
--- a/tests/integration/orders.rs
+++ b/tests/integration/orders.rs
@@ -250,11 +250,14 @@
 /// One owner with faults, then a successor; returns what is wrong with the orders.
 fn order_with(faults: &[(u64, StoreFault)], send: Option<(u64, SendFault)>) -> Vec<String> {
     let world = OrderWorld::new();
+    let small = OrderIntent { running: ["desk-1", "firm-1"].map(str::to_owned).to_vec(), ..OrderIntent::default() };
+    world.store.set("order_intents", "north", &serde_json::to_string(&small).unwrap());
     let mut first = world.host("first", faults, send);
-    world.running.store(2, Ordering::SeqCst);
-    world.advance(&mut first, 8);
-    world.running.store(18, Ordering::SeqCst);
-    world.advance(&mut first, 20);
+    for running in [2, 5, 8, 12, 18] {
+        world.running.store(running, Ordering::SeqCst);
+        world.advance(&mut first, 4);
+    }
+    world.advance(&mut first, 10);
     let is_alive = !first.client.is_stopped();
     let mut problems = Vec::new();
     if is_alive {
@@ -297,7 +300,7 @@
     let faults: Vec<StoreFault> =
         LIVE_FAULTS.into_iter().chain(FATAL_FAULTS).filter(|fault| *fault != StoreFault::Frozen).collect();
     let mut problems = order_with(&[], None);
-    for call in 0..6 {
+    for call in 0..8 {
         for fault in &faults {
             let found = order_with(&[(call, *fault)], None);
             problems.extend(found.into_iter().map(|problem| format!("{fault:?} at {call}: {problem}")));
@@ -316,7 +319,8 @@
     let world = OrderWorld::new();
     let mut first = world.host("first", &[], None);
     world.running.store(2, Ordering::SeqCst);
-    world.advance(&mut first, 5);
+    world.advance(&mut first, 300);
+    expect_that!(world.intake.orders.lock().unwrap().last().unwrap().running.len(), eq(2));
     let mut second = world.host("second", &[], None);
     world.advance(&mut second, 5);
     let before = world.store.read("order_intents", "north");
