--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,12 +2,14 @@
 
 mod claims_model;
 mod command_line;
+mod control_faults;
 mod control_links;
 mod dispatch;
 mod gateway;
 mod http_bounds;
 mod memory_store;
 mod operator;
+mod peer_frames;
 mod policy;
 mod process_faults;
 mod report;
