--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -300,7 +300,7 @@
     fn engine_request(&mut self, address: &str) -> EngineRequest {
         let kv_handle = self.last_failed.take().filter(|failed| failed.may_export).and_then(|failed| {
             let exported = export_cache(&failed.address, &self.run.request_id)?;
-            import_cache(address, &exported)
+            Some(import_cache(address, &exported)?.kv_handle)
         });
         EngineRequest {
             request_id: self.run.request_id.clone(),
--- a/tests/integration/traffic_bench.rs
+++ b/tests/integration/traffic_bench.rs
@@ -10,12 +10,12 @@
 use camphorspring::control::ControlView;
 use camphorspring::control::configuration::{Configuration, KeyRecord};
 use camphorspring::dispatch::{Permit, PermitAsk, PermitReport, PermitSource};
-use camphorspring::gateway::objective_counters::ObjectiveCounters;
 use camphorspring::gateway::{GatewayParts, caller_handler};
 use camphorspring::generated::engine_messages::{EnginePiece, EngineRequest};
 use camphorspring::generated::services_text::ServicesText;
 use camphorspring::http_server::{HttpReply, HttpRequest, HttpServer, ReplyBody, RequestHandler, ServerLimits};
 use camphorspring::platform::PlatformClient;
+use camphorspring::report::burn_recorder::BurnRecorder;
 use camphorspring::result_code::ResultCode;
 use camphorspring::traffic::engine_runner::EngineParts;
 use camphorspring::traffic::retry_policy::RetryPolicy;
@@ -88,7 +88,7 @@
         let faults: Arc<Mutex<VecDeque<TargetFault>>> = Arc::default();
         let (seen, script) = (Arc::clone(&requests), Arc::clone(&faults));
         let handler: RequestHandler = Arc::new(move |request| {
-            let is_run = !request.path.starts_with("/kv/") && request.path != "/v1/cancel";
+            let is_run = !is_side_call(&request.path);
             let fault = if is_run { script.lock().unwrap().pop_front() } else { None };
             let reply = answer(&request, fault.unwrap_or(TargetFault::None));
             seen.lock().unwrap().push(request);
@@ -106,10 +106,14 @@
     /// Requests that were run, without cancel and KV calls.
     pub fn runs(&self) -> usize {
         let requests = self.requests.lock().unwrap();
-        requests.iter().filter(|request| !request.path.starts_with("/kv/") && request.path != "/v1/cancel").count()
+        requests.iter().filter(|request| !is_side_call(&request.path)).count()
     }
 }
 
+fn is_side_call(path: &str) -> bool {
+    path.starts_with("/v1/kv/") || path.ends_with("/cancel")
+}
+
 /// A reply whose body breaks off at once, so that the connection closes without an answer that can be used.
 fn aborted_reply() -> HttpReply {
     let (_, body) = ReplyBody::streamed();
@@ -187,7 +191,7 @@
     pub view: Arc<ArcSwap<ControlView>>,
     pub usage: Arc<Mutex<Vec<UsageEvent>>>,
     pub reports: Arc<Mutex<Vec<PermitReport>>>,
-    pub objectives: Arc<ObjectiveCounters>,
+    pub objectives: Arc<BurnRecorder>,
     pub registry: prometheus::Registry,
     /// Answer of the permit source instead of a permit.
     pub permit_refusal: Arc<Mutex<Option<ResultCode>>>,
@@ -290,7 +294,7 @@
             clock: Arc::new(boot_time),
         };
         let registry = prometheus::Registry::new();
-        let objectives = Arc::new(ObjectiveCounters::default());
+        let objectives = Arc::new(BurnRecorder::new("host-1", "north", Duration::ZERO));
         let parts = GatewayParts {
             engine,
             platform: PlatformClient::new(platform_url),
