--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,9 +2,13 @@
 
 mod claims_model;
 mod command_line;
+mod control_links;
+mod dispatch;
 mod gateway;
 mod http_bounds;
 mod operator;
+mod policy;
 mod report;
 mod settings;
+mod support;
 mod traffic_bench;
