Quarantine requests that crash targets, and prove bookings against the table service

Cause: a request that crashes its target was retried on the next one and could be sent again for ever; bookings were proved on a model only. A booking whose claim met a slow store lost its time at the target (1205 after a frozen claim write). Claims are a part of the host, and a planned stop waits until they are settled. The time of a claimed request starts when it is sent.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,7 +27,6 @@
 use crate::generated::caller_messages::{StepAccepted, StepRequest};
 use crate::http_server::connection::error_reply;
 use crate::http_server::{HttpReply, HttpRequest, RequestHandler};
-use crate::platform::PlatformClient;
 use crate::prelude::*;
 use crate::report::burn_recorder::BurnRecorder;
 use crate::report::refusal_log::RefusalLog;
@@ -50,8 +49,8 @@
 pub struct GatewayParts {
     /// Runs requests on targets.
     pub engine: EngineParts,
-    /// Table of claims.
-    pub platform: PlatformClient,
+    /// Claims of requests that may not be repeated.
+    pub claims: Arc<ClaimStore>,
     /// Accepts steps.
     pub submit_step: StepSubmit,
     /// Gives batches of samples.
@@ -72,7 +71,6 @@
     pub(crate) metrics: Arc<RequestMetrics>,
     pub(crate) completions: Arc<CompletionBoard>,
     pub(crate) pages: Arc<PageBoard>,
-    pub(crate) claims: Arc<ClaimStore>,
     next_id: AtomicU64,
 }
 
@@ -80,14 +78,11 @@
 #[must_use]
 pub fn caller_handler(parts: GatewayParts) -> RequestHandler {
     let metrics = Arc::new(RequestMetrics::new(&parts.registry));
-    let (view, clock) = (Arc::clone(&parts.engine.view), Arc::clone(&parts.engine.clock));
-    let claims = ClaimStore::start(parts.platform.clone(), view, clock);
     let gateway = Arc::new(Gateway {
         parts,
         metrics,
         completions: Arc::new(CompletionBoard::default()),
         pages: Arc::new(PageBoard::default()),
-        claims,
         next_id: AtomicU64::new(1),
     });
     Arc::new(move |request| handle_request(&gateway, &request))
--- a/src/gateway/claimed_routes.rs
+++ b/src/gateway/claimed_routes.rs
@@ -4,13 +4,13 @@
 
 use crate::gateway::plain_routes::plain_reply;
 use crate::gateway::request_trace::RequestTrace;
-use crate::gateway::{Answered, RequestContext};
+use crate::gateway::{Answered, DEADLINE_LIMIT, RequestContext};
 use crate::generated::caller_messages::{RequestOutcome, RequestOutcomeState};
 use crate::http_server::{HeaderPair, HttpReply, HttpRequest};
 use crate::prelude::*;
 use crate::traffic::claim_state::{ClaimState, StoredAnswer, StoredHeader, TargetEnd};
 use crate::traffic::claim_store::ClaimRequest;
-use crate::traffic::engine_runner::RunStop;
+use crate::traffic::engine_runner::run_stop;
 use crate::traffic::plain_client::PlainAnswer;
 use crate::traffic::plain_runner::{PlainRun, run_plain};
 
@@ -21,7 +21,7 @@
     context: &RequestContext<'_>,
     trace: &RequestTrace,
     run: &PlainRun,
-    stop: &RunStop,
+    key_id: Option<&KeyId>,
 ) -> Result<Answered, ResultCode> {
     let key = context.request.header("idempotency-key").ok_or(ResultCode::ClaimMissing)?;
     if !is_idempotency_key(key) {
@@ -38,7 +38,7 @@
         organisation = run.organisation.as_str(), idempotency_key = key;
         "claim_started"
     );
-    let answer = context.gateway.claims.run(&request, &mut || run_claimed(context, run, stop))?;
+    let answer = context.gateway.parts.claims.run(&request, &mut || run_claimed(context, run, key_id.cloned()))?;
     Ok(Answered::Whole(stored_reply(&answer)))
 }
 
@@ -56,8 +56,14 @@
     hexadecimal(&digest.finalize())
 }
 
-fn run_claimed(context: &RequestContext<'_>, run: &PlainRun, stop: &RunStop) -> TargetEnd {
-    match run_plain(&context.gateway.parts.engine, run, stop) {
+fn run_claimed(context: &RequestContext<'_>, run: &PlainRun, key_id: Option<KeyId>) -> TargetEnd {
+    let engine = &context.gateway.parts.engine;
+    // Counted from here: a slow store must not use up the time that the target has.
+    let limit = context.gateway.now() + run.answer_limit;
+    let named = context.deadline(DEADLINE_LIMIT).unwrap_or(limit);
+    let deadline = limit.min(named);
+    let stop = run_stop(engine, key_id, Arc::new(move || deadline));
+    match run_plain(engine, run, &stop) {
         Ok(answer) => TargetEnd::Answered(stored_answer(answer)),
         Err(end) if end.is_sent => TargetEnd::NoAnswer,
         Err(end) => TargetEnd::NotSent(end.code),
@@ -104,7 +110,7 @@
     if !is_idempotency_key(key) {
         return Err(ResultCode::BadRequest);
     }
-    let row = context.gateway.claims.outcome(&caller.organisation, key)?.ok_or(ResultCode::NotFound)?;
+    let row = context.gateway.parts.claims.outcome(&caller.organisation, key)?.ok_or(ResultCode::NotFound)?;
     let state = match row.state {
         ClaimState::Claimed => RequestOutcomeState::Running,
         ClaimState::Done => RequestOutcomeState::Done,
--- a/src/gateway/plain_routes.rs
+++ b/src/gateway/plain_routes.rs
@@ -9,7 +9,6 @@
 use crate::http_server::{HttpReply, ReplyBody};
 use crate::prelude::*;
 use crate::traffic::coalescing::{JoinedRun, ReadStep, RunBoard, RunKey, RunReader, run_key};
-use crate::traffic::engine_runner::run_stop;
 use crate::traffic::plain_client::{PlainAnswer, PlainRequest, forwarded_headers};
 use crate::traffic::plain_runner::{PlainRun, run_plain};
 
@@ -36,9 +35,7 @@
     let deadline = context.deadline(answer_limit)?.min(context.now + answer_limit);
     let run = plain_run(context, route, caller.as_ref(), answer_limit)?;
     if !route.repeatable {
-        let key_id = caller.map(|caller| caller.key_id);
-        let stop = run_stop(&context.gateway.parts.engine, key_id, Arc::new(move || deadline));
-        return answer_claimed(context, trace, &run, &stop);
+        return answer_claimed(context, trace, &run, caller.as_ref().map(|caller| &caller.key_id));
     }
     let key = page_key(route, &run);
     let reader = join_run(context.gateway, key, run, deadline)?;
--- a/src/serve/host_parts.rs
+++ b/src/serve/host_parts.rs
@@ -27,7 +27,10 @@
 use crate::samples::plain_grader::PlainGrader;
 use crate::serve::operator_parts::operator_parts;
 use crate::serve::retry_functions::retry_policy;
+use crate::traffic::claim_store::ClaimStore;
+use crate::traffic::crash_guard::CrashGuard;
 use crate::traffic::engine_runner::{EngineParts, engine_runner};
+use crate::traffic::retry_policy::RetryPolicy;
 
 /// Threads of the runtime that parses HTTP and runs the peer links.
 const RUNTIME_THREADS: usize = 2;
@@ -35,6 +38,9 @@
 /// Stack of a request thread in bytes; requests keep their data on the heap.
 const REQUEST_STACK: usize = 512 * 1024;
 
+/// Time that a planned stop waits for answers that the store has not taken; without them the outcome is unknown.
+const CLAIM_SETTLE_LIMIT: Duration = Duration::from_secs(10);
+
 /// Requests of operators handled at one time.
 const OPERATOR_REQUESTS: usize = 16;
 
@@ -50,6 +56,7 @@
     pub operators: HttpServer,
     /// Set when background work shall end.
     pub stopping: Arc<AtomicBool>,
+    claims: Arc<ClaimStore>,
     // Kept until the host ends: dropping them stops their threads.
     _dispatch: Arc<DispatchHandle>,
     _runtime: Runtime,
@@ -78,27 +85,38 @@
         let control_settings = ControlSettings { origin, seed: draw_seed(&mut generator) };
         start_control(inbox, control_settings, &client, network.clone())?;
         let dispatch = start_dispatch(DispatchSetup::new(control.clone(), network.sender(), registry.clone()));
-        let _ = late_handler.set(Arc::clone(&dispatch.frame_handler));
+        let crashes = crash_guard(&control, &network);
+        let (permit_frames, crash_frames) = (Arc::clone(&dispatch.frame_handler), Arc::clone(&crashes));
+        let _ = late_handler.set(Arc::new(move |from, frame| {
+            crash_frames.take_frame(from, &frame);
+            permit_frames(from, frame);
+        }));
         let dispatch = Arc::new(dispatch);
 
-        let engine = engine_parts(&control, &dispatch, ChaCha8Rng::seed_from_u64(draw_seed(&mut generator)));
+        let retries = retry_policy(ChaCha8Rng::seed_from_u64(draw_seed(&mut generator)));
+        let engine = engine_parts(&control, &dispatch, retries, crashes);
         let steps = start_steps(&control, &client, &engine, &registry);
         let stopping = Arc::new(AtomicBool::new(false));
         steps.start_keeper(Arc::clone(&stopping))?;
         let recorder = Arc::new(BurnRecorder::new(&settings.host, &settings.failure_domain, boot_time()));
         let refusals = Arc::new(RefusalLog::default());
-        let parts = gateway_parts(engine, &client, &steps, &registry, &recorder, &refusals);
+        let claims = ClaimStore::start(client.clone(), Arc::clone(&engine.view), Arc::clone(&engine.clock));
+        let parts = gateway_parts(engine, &claims, &steps, &registry, &recorder, &refusals);
         let callers = HttpServer::start(&runtime, &settings.caller_address, limits(settings), caller_handler(parts))?;
         let operators = operator_parts(settings, &control, &client, registry, recorder, refusals);
         let operator_limits = ServerLimits { requests: OPERATOR_REQUESTS, ..ServerLimits::default() };
         let operators =
             HttpServer::start(&runtime, &settings.operator_address, operator_limits, operator_handler(operators))?;
-        Ok(Self { control, network, callers, operators, stopping, _dispatch: dispatch, _runtime: runtime })
+        Ok(Self { control, network, callers, operators, stopping, claims, _dispatch: dispatch, _runtime: runtime })
     }
 
     /// Ends background work after the last request.
     pub fn finish_background(&self) {
         self.stopping.store(true, Ordering::Release);
+        let deadline = boot_time() + CLAIM_SETTLE_LIMIT;
+        while self.claims.unsettled() > 0 && boot_time() < deadline {
+            std::thread::sleep(Duration::from_millis(50));
+        }
     }
 }
 
@@ -157,14 +175,25 @@
     PeerNetwork::start(runtime.handle(), &settings.peer_address, identity, handler)
 }
 
-fn engine_parts(control: &ControlHandle, dispatch: &DispatchHandle, generator: ChaCha8Rng) -> EngineParts {
+fn crash_guard(control: &ControlHandle, network: &PeerNetwork) -> Arc<CrashGuard> {
+    let control = control.clone();
+    CrashGuard::new(Arc::new(move || control.view()), Arc::new(boot_time), network.sender())
+}
+
+fn engine_parts(
+    control: &ControlHandle,
+    dispatch: &DispatchHandle,
+    retries: RetryPolicy,
+    crashes: Arc<CrashGuard>,
+) -> EngineParts {
     let control = control.clone();
     EngineParts {
         permits: Arc::clone(&dispatch.source),
         view: Arc::new(move || control.view()),
         usage: Arc::new(|_| {}),
-        retries: retry_policy(generator),
+        retries,
         clock: Arc::new(boot_time),
+        crashes,
     }
 }
 
@@ -185,7 +214,7 @@
 
 fn gateway_parts(
     engine: EngineParts,
-    client: &PlatformClient,
+    claims: &Arc<ClaimStore>,
     steps: &Arc<StepService>,
     registry: &Registry,
     recorder: &Arc<BurnRecorder>,
@@ -194,7 +223,7 @@
     let (submits, batches) = (Arc::clone(steps), Arc::clone(steps));
     GatewayParts {
         engine,
-        platform: client.clone(),
+        claims: Arc::clone(claims),
         submit_step: Arc::new(move |organisation, request| submits.submit_step(organisation, &request)),
         next_batch: Arc::new(move |organisation, trainer, step, cursor, wait| {
             batches.next_batch(organisation, trainer, step, cursor, wait)
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -3,11 +3,13 @@
 pub mod claim_state;
 pub mod claim_store;
 pub mod coalescing;
+pub mod crash_guard;
 pub mod engine_client;
 pub mod engine_runner;
 pub mod idle_transport;
 pub mod plain_client;
 pub mod plain_runner;
+pub mod quarantine;
 pub mod retry_policy;
 pub mod text_assembly;
 
--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -5,8 +5,10 @@
 use crate::generated::engine_messages::{EnginePiece, EngineRequest};
 use crate::generated::peer_messages::PermitOutcome;
 use crate::prelude::*;
+use crate::traffic::crash_guard::{CrashGuard, fingerprint_of};
 use crate::traffic::engine_client::{EngineFault, cancel_request, export_cache, import_cache, open_stream};
 use crate::traffic::idle_transport::StopCheck;
+use crate::traffic::quarantine::Fingerprint;
 use crate::traffic::retry_policy::{ATTEMPT_LIMIT, AttemptPlace, RetryPolicy};
 use crate::traffic::text_assembly::{PieceVerdict, TextAssembly};
 use crate::traffic::{EngineResult, EngineRun, EngineRunner, PieceSink};
@@ -34,6 +36,8 @@
     pub retries: RetryPolicy,
     /// Clock.
     pub clock: ClockSource,
+    /// Requests that crash targets.
+    pub crashes: Arc<CrashGuard>,
 }
 
 /// Builds a runner that ends a run at its deadline and when its key is withdrawn.
@@ -107,6 +111,7 @@
     run: &'a EngineRun,
     stop: &'a RunStop,
     assembly: TextAssembly,
+    fingerprint: Fingerprint,
     attempts: u32,
     excluded: Vec<TargetId>,
     last_failed: Option<FailedTarget>,
@@ -120,6 +125,7 @@
             run,
             stop,
             assembly: TextAssembly::new(&run.request_id, run.max_tokens, run.least_version),
+            fingerprint: run_fingerprint(run),
             attempts: 0,
             excluded: Vec::new(),
             last_failed: None,
@@ -130,6 +136,10 @@
     fn run_attempts(&mut self, sink: PieceSink<'_>) -> Result<EngineResult, ResultCode> {
         loop {
             self.check_stop()?;
+            // The code says "not run", which is true before the first attempt only.
+            let verdict = self.parts.crashes.check(&self.fingerprint);
+            verdict.map_err(|code| if self.attempts == 0 { code } else { ResultCode::TargetFailed })?;
+            let _turn = self.parts.crashes.wait_turn(&self.fingerprint);
             let permit = self.next_permit()?;
             match self.run_attempt(permit, sink) {
                 Ok(()) => return Ok(self.result("stop")),
@@ -222,7 +232,9 @@
         let started_at = (self.parts.clock)();
         let tokens_before = self.assembly.tokens();
         let mut first_token_at = None;
+        self.parts.crashes.begin(&permit.target.id, &self.fingerprint);
         let ended = self.read_stream(&permit, sink, &mut first_token_at);
+        self.end_flight(&permit, &ended);
         let ended_at = (self.parts.clock)();
         let total = ended_at.saturating_sub(started_at);
         self.target_time += total;
@@ -243,6 +255,16 @@
         ended
     }
 
+    fn end_flight(&self, permit: &Permit, ended: &Result<(), AttemptEnd>) {
+        let target = &permit.target;
+        match ended {
+            Err(AttemptEnd::Failed(EngineFault::Broken)) => {
+                self.parts.crashes.crash(&target.id, &target.failure_domain, &self.fingerprint);
+            }
+            _ => self.parts.crashes.end(&target.id, &self.fingerprint),
+        }
+    }
+
     fn note_failure(&mut self, permit: &Permit, fault: EngineFault) {
         let target = &permit.target;
         log::warn!(
@@ -316,7 +338,8 @@
 
     /// Sleeps in slices, so that a withdrawn key or the deadline ends the wait.
     fn wait_before_retry(&self) -> Result<(), ResultCode> {
-        let until = (self.parts.clock)() + self.parts.retries.delay(self.attempts);
+        let delay = self.parts.retries.delay(self.attempts).max(self.parts.crashes.settle_time(&self.fingerprint));
+        let until = (self.parts.clock)() + delay;
         loop {
             self.check_stop()?;
             let left = until.saturating_sub((self.parts.clock)());
@@ -341,6 +364,11 @@
     }
 }
 
+fn run_fingerprint(run: &EngineRun) -> Fingerprint {
+    let (max_tokens, seed) = (run.max_tokens.to_be_bytes(), run.seed.to_be_bytes());
+    fingerprint_of(&run.service, &[run.model.as_bytes(), run.prompt.as_bytes(), &max_tokens, &seed])
+}
+
 fn place_of<'p>(run: &'p EngineRun, permit: &'p Permit) -> AttemptPlace<'p> {
     AttemptPlace { service: &run.service, failure_domain: &permit.target.failure_domain }
 }
--- a/src/traffic/plain_runner.rs
+++ b/src/traffic/plain_runner.rs
@@ -3,9 +3,11 @@
 use crate::dispatch::{Permit, PermitAsk, PermitReport};
 use crate::generated::peer_messages::PermitOutcome;
 use crate::prelude::*;
+use crate::traffic::crash_guard::{SuspectTurn, fingerprint_of};
 use crate::traffic::engine_runner::{EngineParts, RunStop};
 use crate::traffic::idle_transport::StopCheck;
 use crate::traffic::plain_client::{PlainAnswer, PlainFault, PlainRequest, send_plain};
+use crate::traffic::quarantine::Fingerprint;
 use crate::traffic::retry_policy::{ATTEMPT_LIMIT, AttemptPlace};
 use crate::usage::UsageEvent;
 
@@ -47,6 +49,7 @@
         parts,
         run,
         stop,
+        fingerprint: fingerprint_of(&run.service, &[run.request.path_and_query.as_bytes(), &run.request.body]),
         attempts: 0,
         is_sent: false,
         excluded: Vec::new(),
@@ -61,6 +64,7 @@
     parts: &'a EngineParts,
     run: &'a PlainRun,
     stop: &'a RunStop,
+    fingerprint: Fingerprint,
     attempts: u32,
     is_sent: bool,
     excluded: Vec<TargetId>,
@@ -72,11 +76,17 @@
         // An answer that asks for a retry stands when no retry is possible.
         let mut fallback = Err(self.end(ResultCode::NoTarget));
         loop {
-            let permit = match self.check_stop().and_then(|()| self.next_permit()) {
+            let turn = match self.check_admission() {
+                Ok(turn) => turn,
+                Err(end) => return fallback.map_err(|_| end),
+            };
+            let permit = match self.next_permit() {
                 Ok(permit) => permit,
                 Err(end) => return fallback.map_err(|_| end),
             };
-            fallback = match self.send(permit) {
+            let sent = self.send(permit);
+            drop(turn);
+            fallback = match sent {
                 Ok(answer) if !self.should_repeat(&answer) => return Ok(answer),
                 Ok(answer) => Ok(answer),
                 Err(PlainFault::Stopped) => return Err(self.stopped_end()),
@@ -91,6 +101,15 @@
         }
     }
 
+    fn check_admission(&self) -> Result<Option<SuspectTurn>, PlainEnd> {
+        self.check_stop()?;
+        if let Err(code) = self.parts.crashes.check(&self.fingerprint) {
+            // The code says "not run", which is true before the first attempt only.
+            return Err(self.end(if self.is_sent { ResultCode::TargetFailed } else { code }));
+        }
+        Ok(self.parts.crashes.wait_turn(&self.fingerprint))
+    }
+
     fn stopped_end(&self) -> PlainEnd {
         self.check_stop().err().unwrap_or_else(|| self.end(ResultCode::TargetFailed))
     }
@@ -152,7 +171,9 @@
     fn send(&mut self, permit: Permit) -> Result<PlainAnswer, PlainFault> {
         let started_at = (self.parts.clock)();
         let (limit, check) = self.exchange_limits(started_at);
+        self.parts.crashes.begin(&permit.target.id, &self.fingerprint);
         let result = send_plain(&permit.target.address, &self.run.request, limit, check);
+        self.end_flight(&permit, &result);
         let total = (self.parts.clock)().saturating_sub(started_at);
         self.is_sent |= result != Err(PlainFault::NotSent);
         let place = AttemptPlace { service: &self.run.service, failure_domain: &permit.target.failure_domain };
@@ -170,6 +191,15 @@
         result
     }
 
+    fn end_flight(&self, permit: &Permit, result: &Result<PlainAnswer, PlainFault>) {
+        let target = &permit.target;
+        if matches!(result, Err(PlainFault::NoAnswer)) {
+            self.parts.crashes.crash(&target.id, &target.failure_domain, &self.fingerprint);
+        } else {
+            self.parts.crashes.end(&target.id, &self.fingerprint);
+        }
+    }
+
     /// A request that may not be repeated is not interrupted once it is sent: that would only make its outcome
     /// unknown.
     fn exchange_limits(&self, now: BootTime) -> (Duration, StopCheck) {
@@ -194,7 +224,8 @@
     }
 
     fn wait_before_retry(&self) -> Result<(), PlainEnd> {
-        let until = (self.parts.clock)() + self.parts.retries.delay(self.attempts);
+        let delay = self.parts.retries.delay(self.attempts).max(self.parts.crashes.settle_time(&self.fingerprint));
+        let until = (self.parts.clock)() + delay;
         loop {
             self.check_stop()?;
             let left = until.saturating_sub((self.parts.clock)());
--- /dev/null
+++ b/tests/integration/bookings.rs
@@ -0,0 +1,244 @@
+//! Bookings through the gateway, with faults of the table service and of the booking desk.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use camphorspring::clock::boot_time;
+use camphorspring::control::control_view::{MemberRecord, MemberState};
+use camphorspring::generated::platform_messages::{RowCheck, RowWrite, TransactionRequest};
+use camphorspring_standins::faults::{FaultKind, FaultOrder};
+use camphorspring_standins::plain_service::{PlainOptions, PlainStandin};
+use camphorspring_standins::platform::{PlatformOptions, PlatformStandin};
+use googletest::prelude::*;
+
+use crate::traffic_bench::{GatewayBench, NORTH_KEY, PlacedTarget, SOUTH_KEY, send_request, wait_until};
+
+const BOOKING: &str = "/desk/bookings";
+const TRANSACT: &str = "/table/transact";
+
+struct Desk {
+    platform: PlatformStandin,
+    desk: PlainStandin,
+    bench: GatewayBench,
+}
+
+impl Desk {
+    fn start(booking_time: Duration) -> Self {
+        let platform = PlatformStandin::start(PlatformOptions::default()).unwrap();
+        let desk = PlainStandin::start(PlainOptions { booking_time, ..PlainOptions::default() }).unwrap();
+        let address = desk.server().address().to_string();
+        let target = PlacedTarget { service: "desk", id: "d1", address: &address };
+        let bench = GatewayBench::start(&[target], &platform.url());
+        Self { platform, desk, bench }
+    }
+
+    fn book(&self, key: &str, body: &str) -> String {
+        book_at(&self.bench.address, NORTH_KEY, key, body)
+    }
+
+    /// Asks until the answer is none that says to ask again.
+    fn book_settled(&self, key: &str, body: &str) -> String {
+        let mut answer = String::new();
+        wait_until("the claim is settled", || {
+            answer = self.book(key, body);
+            !["1404", "1405", "1406", "1203"].iter().any(|code| answer.starts_with(code))
+        });
+        answer
+    }
+}
+
+/// Result code of a refusal, or status and body of an answer.
+fn book_at(address: &str, api_key: &str, key: &str, body: &str) -> String {
+    let authorization = format!("Bearer {api_key}");
+    let headers = [("authorization", authorization.as_str()), ("idempotency-key", key)];
+    let (status, answer) = send_request(address, "POST", BOOKING, &headers, body.as_bytes());
+    let error: Option<serde_json::Value> = serde_json::from_str(&answer).ok();
+    match error.filter(|error| error["code"].is_u64()) {
+        Some(error) => format!("{} ran={}", error["code"], error["ran"].as_str().unwrap()),
+        None => format!("{status} {answer}"),
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum StoreTrouble {
+    None,
+    ClosedWithoutEffect,
+    Refused,
+    AnswerLost,
+    Frozen,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum DeskTrouble {
+    None,
+    PortClosed,
+    ClosedWithoutEffect,
+    AnswerLost,
+}
+
+const STORE_TROUBLES: [StoreTrouble; 5] = [
+    StoreTrouble::None,
+    StoreTrouble::ClosedWithoutEffect,
+    StoreTrouble::Refused,
+    StoreTrouble::AnswerLost,
+    StoreTrouble::Frozen,
+];
+
+const DESK_TROUBLES: [DeskTrouble; 4] =
+    [DeskTrouble::None, DeskTrouble::PortClosed, DeskTrouble::ClosedWithoutEffect, DeskTrouble::AnswerLost];
+
+fn trouble_store(platform: &PlatformStandin, trouble: StoreTrouble, skip: u32) {
+    let kind = match trouble {
+        StoreTrouble::None => return,
+        StoreTrouble::ClosedWithoutEffect => FaultKind::Down,
+        StoreTrouble::Refused => FaultKind::Refuse,
+        StoreTrouble::AnswerLost => FaultKind::AnswerLost,
+        StoreTrouble::Frozen => FaultKind::Freeze,
+    };
+    platform.fault(FaultOrder::new(kind).on(TRANSACT).after(skip).times(1));
+}
+
+fn trouble_desk(desk: &PlainStandin, trouble: DeskTrouble) {
+    match trouble {
+        DeskTrouble::None => {}
+        DeskTrouble::PortClosed => desk.server().crash(),
+        DeskTrouble::ClosedWithoutEffect => desk.fault(FaultOrder::new(FaultKind::Down).times(1)),
+        DeskTrouble::AnswerLost => desk.fault(FaultOrder::new(FaultKind::AnswerLost).times(1)),
+    }
+}
+
+/// One row: the first answer, the answer once all is well again, and the number of executions.
+fn run_row(claim: StoreTrouble, close: StoreTrouble, trouble: DeskTrouble) -> (String, String, u64) {
+    let desk = Desk::start(Duration::ZERO);
+    trouble_store(&desk.platform, claim, 0);
+    trouble_store(&desk.platform, close, 1);
+    trouble_desk(&desk.desk, trouble);
+    let first = desk.book("k1", "bag 1");
+    desk.platform.fault(FaultOrder::new(FaultKind::Clear));
+    if trouble == DeskTrouble::PortClosed {
+        desk.desk.server().restart();
+    }
+    let settled = desk.book_settled("k1", "bag 1");
+    (first, settled, desk.desk.executions("bag 1"))
+}
+
+/// Guards against a second booking, a lost one, or a false "not run", after any pair of faults of store and desk.
+#[googletest::test]
+fn faults_of_store_and_desk_keep_one_booking() {
+    let mut rows = Vec::new();
+    for claim in STORE_TROUBLES {
+        for close in STORE_TROUBLES {
+            for trouble in DESK_TROUBLES {
+                let faults = [claim != StoreTrouble::None, close != StoreTrouble::None, trouble != DeskTrouble::None];
+                if faults.iter().filter(|is_faulty| **is_faulty).count() <= 2 {
+                    rows.push((claim, close, trouble));
+                }
+            }
+        }
+    }
+    let threads: Vec<_> = rows
+        .chunks(rows.len().div_ceil(8))
+        .map(|rows| {
+            let rows = rows.to_vec();
+            std::thread::spawn(move || {
+                rows.into_iter()
+                    .map(|(claim, close, trouble)| (claim, close, trouble, run_row(claim, close, trouble)))
+                    .collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    let mut table = Vec::new();
+    for (claim, close, trouble, (first, settled, executions)) in
+        threads.into_iter().flat_map(|thread| thread.join().unwrap())
+    {
+        let name = format!("claim={claim:?} close={close:?} desk={trouble:?}");
+        expect_that!(executions, le(1), "{name}");
+        if settled.starts_with("201") || first.starts_with("201") {
+            expect_that!(executions, eq(1), "{name}");
+            expect_that!(settled.as_str(), starts_with("201"), "{name}");
+        }
+        if first.starts_with("201") {
+            expect_that!(first, eq(&settled), "{name}");
+        }
+        table.push(format!("{name}: {first} | {settled} | executions={executions}"));
+    }
+    insta::assert_snapshot!(table.join("\n"));
+}
+
+/// Guards against two runs, or two answers, for devices that ask at the same time.
+#[googletest::test]
+fn devices_with_one_key_share_one_booking() {
+    let desk = Desk::start(Duration::from_millis(300));
+    let address: Arc<str> = Arc::from(desk.bench.address.as_str());
+    let threads: Vec<_> = (0..8)
+        .map(|_| {
+            let address = Arc::clone(&address);
+            std::thread::spawn(move || book_at(&address, NORTH_KEY, "k1", "bag 1"))
+        })
+        .collect();
+    let answers: Vec<String> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
+    expect_that!(answers[0].as_str(), starts_with("201"));
+    expect_that!(answers, each(eq(&answers[0])));
+    expect_that!(desk.desk.executions("bag 1"), eq(1));
+    expect_that!(desk.book("k1", "bag 2"), starts_with("1401"));
+    let south = book_at(&desk.bench.address, SOUTH_KEY, "k1", "bag 3");
+    expect_that!(south, starts_with("201"));
+    let authorization = format!("Bearer {SOUTH_KEY}");
+    let (_, outcome) = desk.bench.send("GET", "/v1/requests/k1", &[("authorization", &authorization)], b"");
+    expect_that!(outcome, contains_substring("B-000002"));
+    let (status, _) = desk.bench.send("GET", "/v1/requests/k2", &[("authorization", &authorization)], b"");
+    expect_that!(status, eq(404));
+}
+
+/// Guards against an answer that the caller does not get because the store is down, and against a second run by
+/// another device until the answer is stored.
+#[googletest::test]
+fn answer_reaches_caller_while_store_is_down() {
+    let desk = Desk::start(Duration::ZERO);
+    desk.platform.fault(FaultOrder::new(FaultKind::Refuse).on(TRANSACT).after(1));
+    expect_that!(desk.book("k1", "bag 1"), starts_with("201"));
+    expect_that!(desk.book("k1", "bag 1"), not(starts_with("201")));
+    desk.platform.fault(FaultOrder::new(FaultKind::Clear));
+    expect_that!(desk.book_settled("k1", "bag 1"), starts_with("201"));
+    expect_that!(desk.desk.executions("bag 1"), eq(1));
+}
+
+/// Guards against a claim of a dead host that blocks for ever or runs again, and against an "unknown" that is taken
+/// back.
+#[googletest::test]
+fn claims_of_dead_hosts_become_unknown() {
+    let desk = Desk::start(Duration::ZERO);
+    expect_that!(desk.book("k1", "bag 1"), starts_with("201"));
+    let row = desk.platform.read_row("claims", "north/k1").unwrap();
+    let mut value: serde_json::Value = serde_json::from_str(&row.value).unwrap();
+    value["state"] = "claimed".into();
+    value["host"] = "host-9".into();
+    value["incarnation"] = 3.into();
+    value["answer"] = serde_json::Value::Null;
+    let (table, key) = ("claims".to_owned(), "north/k2".to_owned());
+    let written = desk.platform.transact(&TransactionRequest {
+        writer_token: "of host-9".to_owned(),
+        checks: vec![RowCheck { table: table.clone(), key: key.clone(), version: 0 }],
+        writes: vec![RowWrite { table, key, value: Some(value.to_string()) }],
+    });
+    expect_that!(written.applied, eq(true));
+    let member =
+        |incarnation, state| MemberRecord { host: "host-9".to_owned(), incarnation, state, heard_at: boot_time() };
+    desk.bench.change_view(|view| view.members = vec![member(3, MemberState::Live)]);
+    expect_that!(desk.book("k2", "bag 1"), eq("1406 ran=unknown"));
+    desk.bench.change_view(|view| view.members = vec![member(4, MemberState::Live)]);
+    expect_that!(desk.book("k2", "bag 1"), eq("1403 ran=unknown"));
+    desk.bench.change_view(|view| view.members = vec![member(3, MemberState::Live)]);
+    expect_that!(desk.book("k2", "bag 1"), eq("1403 ran=unknown"));
+    expect_that!(desk.desk.executions("bag 1"), eq(1));
+}
+
+/// Guards against a booking for a key that was withdrawn while the request waited.
+#[googletest::test]
+fn withdrawn_key_books_nothing() {
+    let desk = Desk::start(Duration::ZERO);
+    desk.bench.change_view(|view| view.withdrawn = Arc::new(vec!["north1".to_owned()]));
+    expect_that!(desk.book("k1", "bag 1"), eq("1102 ran=no"));
+    expect_that!(desk.desk.executions("bag 1"), eq(0));
+    expect_that!(desk.platform.read_table("claims").len(), eq(0));
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests by topic.
 
+mod bookings;
 mod claims_model;
 mod command_line;
 mod control_links;
@@ -8,6 +9,7 @@
 mod http_bounds;
 mod operator;
 mod policy;
+mod quarantine;
 mod report;
 mod settings;
 mod support;
--- a/tests/integration/traffic_bench.rs
+++ b/tests/integration/traffic_bench.rs
@@ -17,6 +17,8 @@
 use camphorspring::platform::PlatformClient;
 use camphorspring::report::burn_recorder::BurnRecorder;
 use camphorspring::result_code::ResultCode;
+use camphorspring::traffic::claim_store::ClaimStore;
+use camphorspring::traffic::crash_guard::CrashGuard;
 use camphorspring::traffic::engine_runner::EngineParts;
 use camphorspring::traffic::retry_policy::RetryPolicy;
 use camphorspring::usage::UsageEvent;
@@ -285,6 +287,9 @@
         let usage: Arc<Mutex<Vec<UsageEvent>>> = Arc::default();
         let reports: Arc<Mutex<Vec<PermitReport>>> = Arc::default();
         let permit_refusal: Arc<Mutex<Option<ResultCode>>> = Arc::default();
+        let crash_view = Arc::clone(&view);
+        let crashes =
+            CrashGuard::new(Arc::new(move || crash_view.load_full()), Arc::new(boot_time), Arc::new(|_, _| true));
         let (view_source, usage_sink) = (Arc::clone(&view), Arc::clone(&usage));
         let engine = EngineParts {
             permits: first_target_source(Arc::clone(&view), Arc::clone(&reports), Arc::clone(&permit_refusal)),
@@ -292,12 +297,15 @@
             usage: Arc::new(move |event| usage_sink.lock().unwrap().push(event)),
             retries: RetryPolicy::unlimited(Arc::new(|| 0.5)),
             clock: Arc::new(boot_time),
+            crashes,
         };
+        let claims =
+            ClaimStore::start(PlatformClient::new(platform_url), Arc::clone(&engine.view), Arc::clone(&engine.clock));
         let registry = prometheus::Registry::new();
         let objectives = Arc::new(BurnRecorder::new("host-1", "north", Duration::ZERO));
         let parts = GatewayParts {
             engine,
-            platform: PlatformClient::new(platform_url),
+            claims,
             submit_step: Arc::new(|_, _| Err(ResultCode::NotFound)),
             next_batch: Arc::new(|organisation, trainer, step, cursor, _| {
                 Ok(format!("{organisation} {trainer} {step} {cursor}").into_bytes())
