Tell replaced hosts of other failure domains by their session row

Cause: a claim of a replaced host in another failure domain was waited for until its silence limit. Change: the owner check reads the session row of hosts that are not members of the own domain.

--- a/src/traffic/claim_store.rs
+++ b/src/traffic/claim_store.rs
@@ -10,6 +10,8 @@
 
 use crate::control::ControlView;
 use crate::control::control_view::MemberState;
+use crate::control::host_session::SessionRow;
+use crate::control::store_call::SESSION_TABLE;
 use crate::generated::platform_messages::{RowCheck, RowWrite, TableRow};
 use crate::platform::{PlatformClient, PlatformFault, encode_key};
 use crate::prelude::*;
@@ -264,10 +266,18 @@
                 }
             }
             // A life that this host has not heard of yet, or a host of another failure domain.
+            _ if self.has_later_session(seen) => OwnerState::Gone,
             _ => self.check_silence(key, seen),
         }
     }
 
+    /// Whether the session row of a host belongs to a later life of it than the one that claimed.
+    fn has_later_session(&self, seen: &SeenClaim) -> bool {
+        let row = self.platform.read_row(SESSION_TABLE, &seen.row.host).ok().flatten();
+        let session = row.and_then(|row| serde_json::from_str::<SessionRow>(&row.value).ok());
+        session.is_some_and(|session| session.incarnation > seen.row.incarnation)
+    }
+
     /// Times how long a claim stays unchanged, by the clock of this host.
     fn check_silence(&self, key: &str, seen: &SeenClaim) -> OwnerState {
         let now = (self.clock)();
--- a/tests/integration/bookings.rs
+++ b/tests/integration/bookings.rs
@@ -32,6 +32,28 @@
         Self { platform, desk, gateway }
     }
 
+    /// Claims key `k2` for the body `bag 1` by life 3 of `host-9`.
+    fn put_claim_of_other_host(&self) {
+        assert!(self.book("k1", "bag 1").starts_with("201"));
+        let row = self.platform.read_row("claims", "north/k1").unwrap();
+        let mut value: serde_json::Value = serde_json::from_str(&row.value).unwrap();
+        value["state"] = "claimed".into();
+        value["host"] = "host-9".into();
+        value["incarnation"] = 3.into();
+        value["answer"] = serde_json::Value::Null;
+        self.put_row("claims", "north/k2", &value.to_string());
+    }
+
+    fn put_row(&self, table: &str, key: &str, value: &str) {
+        let (table, key) = (table.to_owned(), key.to_owned());
+        let written = self.platform.transact(&TransactionRequest {
+            writer_token: "of host-9".to_owned(),
+            checks: vec![RowCheck { table: table.clone(), key: key.clone(), version: 0 }],
+            writes: vec![RowWrite { table, key, value: Some(value.to_owned()) }],
+        });
+        assert!(written.applied);
+    }
+
     fn book(&self, key: &str, body: &str) -> String {
         book_at(&self.gateway.address, NORTH_KEY, key, body)
     }
@@ -208,20 +230,7 @@
 #[googletest::test]
 fn claims_of_dead_hosts_become_unknown() {
     let bench = BookingBench::start(Duration::ZERO);
-    expect_that!(bench.book("k1", "bag 1"), starts_with("201"));
-    let row = bench.platform.read_row("claims", "north/k1").unwrap();
-    let mut value: serde_json::Value = serde_json::from_str(&row.value).unwrap();
-    value["state"] = "claimed".into();
-    value["host"] = "host-9".into();
-    value["incarnation"] = 3.into();
-    value["answer"] = serde_json::Value::Null;
-    let (table, key) = ("claims".to_owned(), "north/k2".to_owned());
-    let written = bench.platform.transact(&TransactionRequest {
-        writer_token: "of host-9".to_owned(),
-        checks: vec![RowCheck { table: table.clone(), key: key.clone(), version: 0 }],
-        writes: vec![RowWrite { table, key, value: Some(value.to_string()) }],
-    });
-    expect_that!(written.applied, eq(true));
+    bench.put_claim_of_other_host();
     let member =
         |incarnation, state| MemberRecord { host: "host-9".to_owned(), incarnation, state, heard_at: boot_time() };
     bench.gateway.change_view(|view| view.members = vec![member(3, MemberState::Live)]);
@@ -233,6 +242,16 @@
     expect_that!(bench.desk.executions("bag 1"), eq(1));
 }
 
+/// Guards against a claim of a replaced host of another failure domain, of which this host hears nothing.
+#[googletest::test]
+fn session_row_tells_a_replaced_host() {
+    let bench = BookingBench::start(Duration::ZERO);
+    bench.put_claim_of_other_host();
+    bench.put_row("sessions", "host-9", r#"{"incarnation":4,"counter":1}"#);
+    expect_that!(bench.book("k2", "bag 1"), eq("1403 ran=unknown"));
+    expect_that!(bench.desk.executions("bag 1"), eq(1));
+}
+
 /// Guards against a booking for a key that was withdrawn while the request waited.
 #[googletest::test]
 fn withdrawn_key_books_nothing() {
