Learn lengths at the entry host and bound prefix hashes

Cause: callers pass the most tokens of a request as its expected length, and a long prompt has thousands of prefix hashes. Change: the entry host lowers the expected tokens to the organisation's mean so far, and sends at most 32 prefix hashes. prompt_prefix gives the hashes that engines publish, for the traffic module. Conclusion: the queue test on idle time now also covers an organisation that was idle for long; without the rule it had passed before.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -7,9 +7,11 @@
 pub mod dispatch_core;
 pub mod dispatch_metrics;
 pub mod dispatch_threads;
+mod entry_ask;
 pub mod entry_plan;
 pub mod entry_state;
 pub mod entry_upkeep;
+pub mod health_table;
 pub mod home_shard;
 pub mod home_state;
 pub mod home_target;
@@ -22,6 +24,7 @@
 use crate::generated::services_text::TargetEntry;
 use crate::prelude::*;
 pub use dispatch_threads::{DispatchHandle, DispatchSetup, start_dispatch};
+pub use entry_ask::AskNumber;
 
 /// What a request needs of a target.
 #[derive(Debug, Clone)]
--- a/src/dispatch/dispatch_core.rs
+++ b/src/dispatch/dispatch_core.rs
@@ -1,7 +1,8 @@
 //! Entry and home of one host together, without clock, threads or network.
 
 use crate::control::{ControlView, PeerOrigin};
-use crate::dispatch::entry_state::{AskNumber, EntryAction, EntryState, GrantedTarget};
+use crate::dispatch::entry_ask::AskNumber;
+use crate::dispatch::entry_state::{EntryAction, EntryState, GrantedTarget};
 use crate::dispatch::home_state::{HomeAnswer, HomeState};
 use crate::dispatch::shard_view::ShardLayout;
 use crate::dispatch::{PermitAsk, PermitReport};
--- a/src/dispatch/entry_state.rs
+++ b/src/dispatch/entry_state.rs
@@ -6,12 +6,14 @@
 
 use crate::control::ControlView;
 use crate::dispatch::PermitAsk;
-use crate::dispatch::entry_plan::{PlanInput, PlannedHome, WaitTable, plan_homes};
+use crate::dispatch::entry_ask::{AskNumber, HeldPermit, HomeAttempt, PendingAsk, present_home, thin_prefixes};
+use crate::dispatch::entry_plan::{PlanInput, WaitTable, plan_homes};
+use crate::dispatch::health_table::HealthTable;
 use crate::dispatch::shard_view::ShardLayout;
 use crate::dispatch::step_ledger::StepLedger;
-use crate::generated::peer_messages::{PeerFrame, PermitGrant, PermitOutcome, PermitRelease, PermitRequest};
+use crate::generated::peer_messages::{PeerFrame, PermitGrant, PermitOutcome, PermitRelease};
 use crate::generated::services_text::TargetEntry;
-use crate::policy::domain_health::DomainHealth;
+use crate::policy::length_estimate::LengthEstimate;
 use crate::prelude::*;
 
 /// Time after which an unanswered request is sent again.
@@ -32,9 +34,6 @@
 /// A wait longer than this makes an ask look at its next home, once each.
 const LONG_WAIT: Duration = Duration::from_millis(500);
 
-/// Number of an ask at this host.
-pub type AskNumber = u64;
-
 /// Effect of an entry event.
 #[derive(Debug, Clone, PartialEq)]
 pub enum EntryAction {
@@ -53,42 +52,6 @@
     pub target: TargetEntry,
 }
 
-/// An ask that is not settled.
-#[derive(Debug)]
-pub(super) struct PendingAsk {
-    pub number: AskNumber,
-    pub ask: Arc<PermitAsk>,
-    pub plan: Vec<PlannedHome>,
-    pub next_home: usize,
-    pub round: u32,
-    pub attempt: Option<HomeAttempt>,
-    pub retry_at: BootTime,
-    pub expires_at: BootTime,
-    pub is_transient: bool,
-    pub last_code: Option<ResultCode>,
-}
-
-/// The open ticket of an ask.
-#[derive(Debug, Clone)]
-pub(super) struct HomeAttempt {
-    pub ticket: u64,
-    pub place: PlannedHome,
-    pub sent_at: BootTime,
-    pub heard_at: BootTime,
-    pub is_acknowledged: bool,
-}
-
-/// A permit that this host holds.
-#[derive(Debug, Clone)]
-pub(super) struct HeldPermit {
-    pub ticket: u64,
-    pub place: PlannedHome,
-    pub target: TargetId,
-    pub service: ServiceId,
-    pub organisation: OrganisationId,
-    pub deadline: Option<BootTime>,
-}
-
 /// A home that this host had to do with, which must learn what is held.
 #[derive(Debug, Clone)]
 pub(super) struct RecentHome {
@@ -96,14 +59,6 @@
     pub used_at: BootTime,
 }
 
-/// Health of a service in a failure domain.
-#[derive(Debug)]
-struct HealthEntry {
-    service: ServiceId,
-    failure_domain: DomainId,
-    health: DomainHealth,
-}
-
 /// All asks and permits of this host.
 #[derive(Debug)]
 pub struct EntryState {
@@ -114,7 +69,8 @@
     pub(super) renewed_at: BootTime,
     waits: WaitTable,
     steps: StepLedger,
-    health: Vec<HealthEntry>,
+    health: HealthTable,
+    lengths: LengthEstimate,
 }
 
 impl EntryState {
@@ -131,11 +87,12 @@
             renewed_at: BootTime::ZERO,
             waits: WaitTable::default(),
             steps: StepLedger::default(),
-            health: Vec::new(),
+            health: HealthTable::default(),
+            lengths: LengthEstimate::new(),
         }
     }
 
-    /// Starts an ask.
+    /// Starts an ask. Its expected tokens are lowered to what its organisation's requests were long so far.
     pub fn start(
         &mut self,
         view: &ControlView,
@@ -145,8 +102,12 @@
     ) -> (AskNumber, Vec<EntryAction>) {
         let number = self.take_ticket();
         let expires_at = now + ask.wait;
+        let known = self.lengths.find_mean(&ask.service, &ask.organisation);
+        let expected_tokens = known.map_or(ask.expected_tokens, |mean| mean.clamp(1, ask.expected_tokens.max(1)));
         let pending = PendingAsk {
             number,
+            expected_tokens,
+            prefix_hashes: thin_prefixes(&ask.prefix_hashes),
             ask,
             plan: Vec::new(),
             next_home: 0,
@@ -216,7 +177,10 @@
         self.steps.end(&held.organisation, &held.service, held.deadline, &held.place.failure_domain);
         if release.outcome != PermitOutcome::Cancelled {
             let is_failure = release.outcome != PermitOutcome::Finished;
-            self.health_mut(&held.service, &held.place.failure_domain).record(now, is_failure);
+            if !is_failure {
+                self.lengths.record(&held.service, &held.organisation, release.tokens);
+            }
+            self.health.record(now, &held.service, &held.place.failure_domain, is_failure);
         }
         self.note_home(now, &held.place.home);
         let mut actions = vec![EntryAction::Send(held.place.home.clone(), release.clone().into())];
@@ -255,7 +219,7 @@
     ) {
         let ask = Arc::clone(&pending.ask);
         let count_step = |domain: &str| self.steps.count(&ask.organisation, &ask.service, ask.deadline, domain);
-        let is_failing = |domain: &str| self.is_failing(&ask.service, domain, now);
+        let is_failing = |domain: &str| self.health.is_failing(now, &ask.service, domain);
         let input = PlanInput { view, layout, waits: &self.waits, count_step: &count_step, is_failing: &is_failing };
         pending.plan = plan_homes(&input, now, &ask, pending.number, pending.round);
         pending.next_home = 0;
@@ -409,85 +373,9 @@
         let position = self.pending.iter().position(|pending| pending.attempt.as_ref().is_some_and(is_match))?;
         Some(self.pending.remove(position))
     }
-
-    fn is_failing(&self, service: &str, failure_domain: &str, now: BootTime) -> bool {
-        let position = self.find_health(service, failure_domain);
-        position.is_ok_and(|position| self.health[position].health.is_failing(now))
-    }
-
-    fn health_mut(&mut self, service: &str, failure_domain: &str) -> &mut DomainHealth {
-        let position = match self.find_health(service, failure_domain) {
-            Ok(position) => position,
-            Err(position) => {
-                let (service, failure_domain) = (service.to_owned(), failure_domain.to_owned());
-                let entry = HealthEntry { service, failure_domain, health: DomainHealth::new() };
-                self.health.insert(position, entry);
-                position
-            }
-        };
-        &mut self.health[position].health
-    }
-
-    fn find_health(&self, service: &str, failure_domain: &str) -> Result<usize, usize> {
-        self.health.binary_search_by(|entry| {
-            (entry.service.as_str(), entry.failure_domain.as_str()).cmp(&(service, failure_domain))
-        })
-    }
-}
-
-impl PendingAsk {
-    /// Frame of an open ticket.
-    pub fn request(&self, attempt: &HomeAttempt, now: BootTime) -> PermitRequest {
-        PermitRequest {
-            ticket: attempt.ticket,
-            service: self.ask.service.clone(),
-            failure_domain: attempt.place.failure_domain.clone(),
-            shard: attempt.place.shard,
-            organisation: self.ask.organisation.clone(),
-            expected_tokens: self.ask.expected_tokens,
-            prefix_hashes: self.ask.prefix_hashes.clone(),
-            firm_only: self.ask.firm_only,
-            deadline_ms: self.ask.deadline.map(|deadline| to_millis(deadline.saturating_sub(now))),
-            excluded_targets: self.ask.excluded_targets.clone(),
-            least_version: self.ask.least_version,
-            wait_ms: to_millis(self.expires_at.saturating_sub(now)),
-        }
-    }
-
-    /// Keeps the refusal that says most: a full queue before a missing target.
-    fn note_refusal(&mut self, code: ResultCode) {
-        self.is_transient |= matches!(code, ResultCode::NotReady | ResultCode::QueueTimeout);
-        if self.last_code != Some(ResultCode::QueueFull) {
-            self.last_code = Some(code);
-        }
-    }
-
-    /// Asks the host next that the refusing one named as the home, once in a round for each shard.
-    fn follow(&mut self, home: &str) {
-        let Some(attempt) = &self.attempt else { return };
-        let place = PlannedHome { home: home.to_owned(), ..attempt.place.clone() };
-        if !self.plan.contains(&place) {
-            self.plan.insert(self.next_home, place);
-        }
-    }
-
-    /// Leaves out the remaining homes of a failure domain in this round.
-    fn skip_domain(&mut self, failure_domain: &str) {
-        let rest = self.plan.split_off(self.next_home);
-        self.plan.extend(rest.into_iter().filter(|place| place.failure_domain != failure_domain));
-    }
-}
-
-/// Home of a held permit's shard by the present view.
-pub(super) fn present_home(view: &ControlView, held: &HeldPermit) -> Option<HostId> {
-    crate::dispatch::shard_view::shard_home(view, &held.service, &held.place.failure_domain, held.place.shard)
 }
 
 fn cancel_frame(ticket: u64) -> PeerFrame {
     let outcome = PermitOutcome::Cancelled;
     PermitRelease { ticket, outcome, tokens: 0, first_token_ms: 0, total_ms: 0 }.into()
 }
-
-fn to_millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/dispatch/entry_upkeep.rs
+++ b/src/dispatch/entry_upkeep.rs
@@ -1,10 +1,8 @@
 //! What an entry host does as time passes: repeats, lost homes, the end of waits, and lists of what it holds.
 
 use crate::control::ControlView;
-use crate::dispatch::entry_state::{
-    AskNumber, EntryAction, EntryState, FIRST_REPEAT, FIRST_SILENCE, PendingAsk, WAIT_REPEAT, WAIT_SILENCE,
-    present_home,
-};
+use crate::dispatch::entry_ask::{AskNumber, PendingAsk, present_home};
+use crate::dispatch::entry_state::{EntryAction, EntryState, FIRST_REPEAT, FIRST_SILENCE, WAIT_REPEAT, WAIT_SILENCE};
 use crate::dispatch::shard_view::{ShardLayout, shard_home};
 use crate::generated::peer_messages::PermitRenewal;
 use crate::prelude::*;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,6 +9,7 @@
 pub mod fair_queue;
 pub mod length_estimate;
 pub mod prefix_index;
+pub mod prompt_prefix;
 pub mod retry_budget;
 pub mod shard_map;
 pub mod slow_start;
--- a/src/policy/length_estimate.rs
+++ b/src/policy/length_estimate.rs
@@ -48,9 +48,16 @@
     /// Expected tokens of a request that may produce at most `most`; half of that when nothing is known.
     #[must_use]
     pub fn expect(&self, service: &str, organisation: &str, most: u32) -> u32 {
-        let Ok(position) = self.find(service, organisation) else { return (most / 2).max(1) };
+        let mean = self.find_mean(service, organisation).unwrap_or(most / 2);
+        mean.clamp(1, most.max(1))
+    }
+
+    /// Mean length, when any is known.
+    #[must_use]
+    pub fn find_mean(&self, service: &str, organisation: &str) -> Option<u32> {
+        let position = self.find(service, organisation).ok()?;
         let mean = self.lengths[position].mean_parts / u64::from(SMOOTHING);
-        u32::try_from(mean).unwrap_or(u32::MAX).clamp(1, most.max(1))
+        Some(u32::try_from(mean).unwrap_or(u32::MAX))
     }
 
     fn find(&self, service: &str, organisation: &str) -> Result<usize, usize> {
--- a/tests/integration/policy/queue.rs
+++ b/tests/integration/policy/queue.rs
@@ -151,8 +151,8 @@
 fn idle_time_is_neither_saved_nor_punished() {
     let mut queue = FairQueue::new(100);
     let item = |organisation| TestItem { organisation, tokens: 100, deadline: 0 };
-    for _ in 0..20 {
-        push(&mut queue, 1.0, item(0));
+    for organisation in std::iter::once(1).chain([0; 20]) {
+        push(&mut queue, 1.0, item(organisation));
         queue.pop();
     }
     for _ in 0..10 {
--- a/tests/integration/policy/routing.rs
+++ b/tests/integration/policy/routing.rs
@@ -196,3 +196,12 @@
     expect_that!(choose(8, 7), some(eq(1)));
     expect_that!(choose(8, 8), none());
 }
+
+/// Guards against prefix hashes other than those that engines publish, which no cache event would ever match.
+#[googletest::test]
+fn prompt_prefixes_match_engine() {
+    let prompt = "a shared start of a prompt, ".repeat(20);
+    let hashes = camphorspring::policy::prompt_prefix::prompt_prefixes(&prompt);
+    expect_that!(hashes.len(), eq(8));
+    expect_that!(hashes, eq(&camphorspring_standins::engine::prefix_hashes(&prompt)));
+}
