--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -20,3 +20,4 @@
 mod settings;
 mod support;
 mod traffic_bench;
+mod usage;
