Report usage windows from a running host, with window lengths from the settings

Change: the host starts the keeper, routes replica frames to it and waits for its last flush at a planned stop; window length and freeze delay come from the settings; camphorspring usage reads a window back.

--- a/src/serve/host_parts.rs
+++ b/src/serve/host_parts.rs
@@ -1,8 +1,10 @@
 //! The parts of a running host, started in the order of their dependencies.
 
 use std::io;
-use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, OnceLock, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use prometheus::Registry;
 use rand::SeedableRng;
@@ -31,6 +33,8 @@
 use crate::traffic::crash_guard::CrashGuard;
 use crate::traffic::engine_runner::{EngineParts, engine_runner};
 use crate::traffic::retry_policy::RetryPolicy;
+use crate::usage::usage_keeper::{UsageKeeper, UsageParts};
+use crate::usage::{UsageSink, UsageTiming};
 
 /// Threads of the runtime that parses HTTP and runs the peer links.
 const RUNTIME_THREADS: usize = 2;
@@ -57,6 +61,7 @@
     /// Set when background work shall end.
     pub stopping: Arc<AtomicBool>,
     claims: Arc<ClaimStore>,
+    keepers: Mutex<Vec<JoinHandle<()>>>,
     // Kept until the host ends: dropping them stops their threads.
     _dispatch: Arc<DispatchHandle>,
     _runtime: Runtime,
@@ -86,18 +91,21 @@
         start_control(inbox, control_settings, &client, network.clone())?;
         let dispatch = start_dispatch(DispatchSetup::new(control.clone(), network.sender(), registry.clone()));
         let crashes = crash_guard(&control, &network);
+        let usage = UsageKeeper::new(usage_parts(settings, &control, &client, &network));
         let (permit_frames, crash_frames) = (Arc::clone(&dispatch.frame_handler), Arc::clone(&crashes));
+        let usage_frames = Arc::clone(&usage);
         let _ = late_handler.set(Arc::new(move |from, frame| {
             crash_frames.take_frame(from, &frame);
+            usage_frames.take_frame(&frame);
             permit_frames(from, frame);
         }));
         let dispatch = Arc::new(dispatch);
 
         let retries = retry_policy(ChaCha8Rng::seed_from_u64(draw_seed(&mut generator)));
-        let engine = engine_parts(&control, &dispatch, retries, crashes);
+        let engine = engine_parts(&control, &dispatch, retries, crashes, usage.sink());
         let steps = start_steps(&control, &client, &engine, &registry);
         let stopping = Arc::new(AtomicBool::new(false));
-        steps.start_keeper(Arc::clone(&stopping))?;
+        let keepers = vec![steps.start_keeper(Arc::clone(&stopping))?, usage.start(Arc::clone(&stopping))?];
         let recorder = Arc::new(BurnRecorder::new(&settings.host, &settings.failure_domain, boot_time()));
         let refusals = Arc::new(RefusalLog::default());
         let claims = ClaimStore::start(client.clone(), Arc::clone(&engine.view), Arc::clone(&engine.clock));
@@ -107,7 +115,18 @@
         let operator_limits = ServerLimits { requests: OPERATOR_REQUESTS, ..ServerLimits::default() };
         let operators =
             HttpServer::start(&runtime, &settings.operator_address, operator_limits, operator_handler(operators))?;
-        Ok(Self { control, network, callers, operators, stopping, claims, _dispatch: dispatch, _runtime: runtime })
+        let keepers = Mutex::new(keepers);
+        Ok(Self {
+            control,
+            network,
+            callers,
+            operators,
+            stopping,
+            claims,
+            keepers,
+            _dispatch: dispatch,
+            _runtime: runtime,
+        })
     }
 
     /// Ends background work after the last request.
@@ -117,6 +136,10 @@
         while self.claims.unsettled() > 0 && boot_time() < deadline {
             std::thread::sleep(Duration::from_millis(50));
         }
+        // The keepers end after their last flush, whose store calls have time limits.
+        for keeper in self.keepers.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+            let _ = keeper.join();
+        }
     }
 }
 
@@ -185,18 +208,41 @@
     dispatch: &DispatchHandle,
     retries: RetryPolicy,
     crashes: Arc<CrashGuard>,
+    usage: UsageSink,
 ) -> EngineParts {
     let control = control.clone();
     EngineParts {
         permits: Arc::clone(&dispatch.source),
         view: Arc::new(move || control.view()),
-        usage: Arc::new(|_| {}),
+        usage,
         retries,
         clock: Arc::new(boot_time),
         crashes,
     }
 }
 
+fn usage_parts(
+    settings: &ProcessSettings,
+    control: &ControlHandle,
+    client: &PlatformClient,
+    network: &PeerNetwork,
+) -> UsageParts {
+    let reports = client.clone();
+    let timing = UsageTiming {
+        window: Duration::from_secs(u64::from(settings.usage_window_seconds)),
+        freeze_delay: Duration::from_secs(u64::from(settings.usage_freeze_seconds)),
+    };
+    UsageParts {
+        control: control.clone(),
+        store: StoreAccess::of_client(client),
+        frames: network.sender(),
+        reports: Arc::new(move |report| reports.report_usage(report)),
+        clock: Arc::new(boot_time),
+        wall: Arc::new(|| SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()),
+        timing,
+    }
+}
+
 fn start_steps(
     control: &ControlHandle,
     client: &PlatformClient,
--- a/src/serve/operator_parts.rs
+++ b/src/serve/operator_parts.rs
@@ -9,9 +9,11 @@
 use crate::metrics::HostGauges;
 use crate::operator::{OperatorFault, OperatorParts};
 use crate::platform::PlatformClient;
+use crate::platform::store_access::StoreAccess;
 use crate::prelude::*;
 use crate::report::burn_recorder::BurnRecorder;
 use crate::report::refusal_log::RefusalLog;
+use crate::usage::window_usage::window_usage;
 
 /// Author that the configuration log names; operators share one token.
 const AUTHOR: &str = "operator";
@@ -40,6 +42,7 @@
     let writer = Arc::new(ConfigurationWriter::new(control.clone(), client.clone()));
     let (grants, withdrawals, placements) = (Arc::clone(&writer), Arc::clone(&writer), Arc::clone(&writer));
     let target_control = control.clone();
+    let store = StoreAccess::of_client(client);
     OperatorParts {
         token: settings.operator_token.clone(),
         control: control.clone(),
@@ -63,7 +66,10 @@
             let version = placements.set_placement(kind, &request.name, request.out, AUTHOR)?;
             Ok(ApplyAnswer { version, changed_items: 1 })
         }),
-        usage: Box::new(|_| Err(ResultCode::NotFound.into())),
+        usage: Box::new(move |window| {
+            let usage = window_usage(&store, window).map_err(|_| OperatorFault::from(ResultCode::StoreUnavailable))?;
+            Ok(usage.figures)
+        }),
         burn: Box::new(move || recorder.answer(boot_time())),
         refusals: Box::new(move || refusals.list(boot_time())),
         targets: Box::new(move || target_views(&target_control)),
--- a/src/usage.rs
+++ b/src/usage.rs
@@ -14,6 +14,21 @@
 
 use crate::prelude::*;
 
+/// Lengths that all hosts must agree on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageTiming {
+    /// Length of a window; whole seconds.
+    pub window: Duration,
+    /// Time after the end of a window at which its figures are frozen.
+    pub freeze_delay: Duration,
+}
+
+impl Default for UsageTiming {
+    fn default() -> Self {
+        Self { window: USAGE_WINDOW, freeze_delay: USAGE_FREEZE_DELAY }
+    }
+}
+
 /// Usage of one finished request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UsageEvent {
--- a/src/usage/increment_writer.rs
+++ b/src/usage/increment_writer.rs
@@ -8,7 +8,7 @@
 use crate::generated::platform_messages::TransactionAnswer;
 use crate::platform::PlatformFault;
 use crate::platform::store_access::{StoreAccess, new_writer_token, row_check, row_write};
-use crate::prelude::*;
+use crate::usage::UsageTiming;
 use crate::usage::usage_rows::{
     CLOSED_WINDOWS_TABLE, CORRECTIONS_TABLE, CorrectionRow, MARK_VALUE, OPEN_WINDOWS_TABLE, USAGE_TABLE, WindowStart,
     window_key, window_of_key,
@@ -32,8 +32,14 @@
 /// closed. `is_marked` says that this host has stored an increment of the window before, so that the window is in
 /// `open_windows` until it is closed.
 #[must_use]
-pub fn write_increment(store: &StoreAccess, row: &UsageRow, present: WindowStart, is_marked: bool) -> IncrementOutcome {
-    try_increment(store, row, present, is_marked).unwrap_or(IncrementOutcome::NoAnswer)
+pub fn write_increment(
+    store: &StoreAccess,
+    row: &UsageRow,
+    present: WindowStart,
+    is_marked: bool,
+    timing: UsageTiming,
+) -> IncrementOutcome {
+    try_increment(store, row, present, is_marked, timing).unwrap_or(IncrementOutcome::NoAnswer)
 }
 
 fn try_increment(
@@ -41,6 +47,7 @@
     row: &UsageRow,
     present: WindowStart,
     is_marked: bool,
+    timing: UsageTiming,
 ) -> Result<IncrementOutcome, PlatformFault> {
     let window = window_of_key(&row.key).ok_or(PlatformFault::Malformed)?;
     let closed_key = window_key(window);
@@ -56,7 +63,7 @@
     if !has_conflict(&answer, CLOSED_WINDOWS_TABLE) {
         return Ok(IncrementOutcome::NoAnswer);
     }
-    correct_increment(store, row, window, present)
+    correct_increment(store, row, window, present, timing)
 }
 
 /// Counts an increment of a closed window in a later one.
@@ -65,9 +72,10 @@
     row: &UsageRow,
     window: WindowStart,
     present: WindowStart,
+    timing: UsageTiming,
 ) -> Result<IncrementOutcome, PlatformFault> {
     let name = row.key.split_once('/').map(|(_, name)| name).ok_or(PlatformFault::Malformed)?;
-    let length = USAGE_WINDOW.as_secs();
+    let length = timing.window.as_secs();
     let first = present.max(window + length);
     for later in (0..=LATE_WINDOWS).map(|count| first + count * length) {
         let key = format!("{}/{name}", window_key(later));
--- a/src/usage/usage_keeper.rs
+++ b/src/usage/usage_keeper.rs
@@ -10,6 +10,7 @@
 use crate::peer::FrameSender;
 use crate::platform::store_access::StoreAccess;
 use crate::prelude::*;
+use crate::usage::UsageTiming;
 use crate::usage::increment_writer::{IncrementOutcome, write_increment};
 use crate::usage::replica_table::ReplicaTable;
 use crate::usage::usage_ledger::{UnflushedRow, UsageLedger};
@@ -54,6 +55,8 @@
     pub clock: TimeSource,
     /// Wall clock.
     pub wall: WallSource,
+    /// Lengths that all hosts agree on.
+    pub timing: UsageTiming,
 }
 
 /// Usage of one host.
@@ -74,12 +77,13 @@
     #[must_use]
     pub fn new(parts: UsageParts) -> Arc<Self> {
         let view = parts.control.view();
+        let timing = parts.timing;
         let ledger = UsageLedger::new(&view.host, view.incarnation);
         Arc::new(Self {
             parts,
             ledger: Mutex::new(ledger),
             replicas: Mutex::default(),
-            plan: Mutex::default(),
+            plan: Mutex::new(WindowPlan::new(timing)),
             marked: Mutex::default(),
             last_flush: Mutex::default(),
             last_look: Mutex::default(),
@@ -92,7 +96,7 @@
     pub fn sink(self: &Arc<Self>) -> UsageSink {
         let keeper = Arc::clone(self);
         Arc::new(move |event: UsageEvent| {
-            let window = window_of((keeper.parts.wall)());
+            let window = window_of((keeper.parts.wall)(), keeper.parts.timing);
             lock(&keeper.ledger).record(event, window);
         })
     }
@@ -165,12 +169,12 @@
     }
 
     fn write_row(&self, unflushed: &UnflushedRow) -> bool {
-        let present = window_of((self.parts.wall)());
+        let present = window_of((self.parts.wall)(), self.parts.timing);
         let is_marked = lock(&self.marked).contains(&unflushed.window);
-        let outcome = write_increment(&self.parts.store, &unflushed.row, present, is_marked);
+        let outcome = write_increment(&self.parts.store, &unflushed.row, present, is_marked, self.parts.timing);
         if outcome == IncrementOutcome::Stored && !is_marked {
             let mut marked = lock(&self.marked);
-            marked.retain(|window| *window + 2 * USAGE_WINDOW.as_secs() > present);
+            marked.retain(|window| *window + 2 * self.parts.timing.window.as_secs() > present);
             marked.push(unflushed.window);
         }
         outcome != IncrementOutcome::NoAnswer
@@ -214,10 +218,11 @@
     /// Writes rows of other hosts that have not confirmed them in time.
     pub fn flush_replicas(&self) {
         let now = (self.parts.clock)();
-        let present = window_of((self.parts.wall)());
+        let present = window_of((self.parts.wall)(), self.parts.timing);
         let rows = lock(&self.replicas).due_rows(now, REPLICA_WRITES);
         for row in rows {
-            if write_increment(&self.parts.store, &row, present, false) == IncrementOutcome::NoAnswer {
+            if write_increment(&self.parts.store, &row, present, false, self.parts.timing) == IncrementOutcome::NoAnswer
+            {
                 break;
             }
             lock(&self.replicas).drop_flushed(&[row.key]);
--- a/src/usage/usage_rows.rs
+++ b/src/usage/usage_rows.rs
@@ -12,6 +12,7 @@
 
 use crate::generated::platform_messages::UsageFigure;
 use crate::prelude::*;
+use crate::usage::UsageTiming;
 
 /// Table of increments.
 pub const USAGE_TABLE: &str = "usage";
@@ -32,8 +33,8 @@
 
 /// Window that contains a time of the wall clock.
 #[must_use]
-pub fn window_of(wall_seconds: u64) -> WindowStart {
-    wall_seconds - wall_seconds % USAGE_WINDOW.as_secs()
+pub fn window_of(wall_seconds: u64, timing: UsageTiming) -> WindowStart {
+    wall_seconds - wall_seconds % timing.window.as_secs().max(1)
 }
 
 /// Key of a window's rows.
--- a/src/usage/window_plan.rs
+++ b/src/usage/window_plan.rs
@@ -6,6 +6,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::prelude::*;
+use crate::usage::UsageTiming;
 use crate::usage::usage_rows::WindowStart;
 
 /// Time between two ranks; a dead owner's lease has ended by then.
@@ -26,10 +27,17 @@
 /// Windows that this host wants, sorted.
 #[derive(Debug, Clone, Default)]
 pub struct WindowPlan {
+    timing: UsageTiming,
     wanted: Vec<WindowStart>,
 }
 
 impl WindowPlan {
+    /// Plan without windows.
+    #[must_use]
+    pub fn new(timing: UsageTiming) -> Self {
+        Self { timing, wanted: Vec::new() }
+    }
+
     /// Compares the windows that are not reported with those wanted. `wall` is the time of the wall clock in seconds.
     pub fn look(&mut self, host: &str, hosts: &[HostId], open: Vec<WindowStart>, wall: u64) -> Vec<WindowAction> {
         let mut actions = Vec::new();
@@ -42,7 +50,7 @@
         for window in open {
             let rank = hosts.iter().filter(|other| preference(other, window) < preference(host, window)).count();
             let rank = u64::try_from(rank).unwrap_or(u64::MAX);
-            let delay = USAGE_WINDOW + USAGE_FREEZE_DELAY;
+            let delay = self.timing.window + self.timing.freeze_delay;
             let due = window + delay.as_secs() + rank.saturating_mul(RANK_DELAY.as_secs());
             if wall < due || self.wanted.len() >= WINDOWS_WANTED {
                 continue;
--- a/tests/integration/peer_frames.rs
+++ b/tests/integration/peer_frames.rs
@@ -34,7 +34,7 @@
     let names = prop::collection::vec("[a-z0-9-]{1,12}", 0..40);
     (any::<u32>(), any::<u64>(), prop::option::of(any::<u32>()), names, any::<bool>()).prop_map(
         |(exchange, hash, age, names, has_roster)| {
-            let beats: Vec<u32> = (0..names.len()).map(|position| exchange.wrapping_add(position as u32)).collect();
+            let beats: Vec<u32> = (0..).take(names.len()).map(|position| exchange.wrapping_add(position)).collect();
             let lives = vec![hash; names.len()];
             let roster = has_roster.then(|| MemberRoster { hosts: names.clone(), lives });
             PeerFrame::GossipAnswer(GossipAnswer {
@@ -107,7 +107,7 @@
     let shown: Vec<String> = cases
         .iter()
         .map(|(name, bytes)| {
-            let result = check_hello(bytes, TOKEN).map_or_else(|code| code.number(), |_| 0);
+            let result = check_hello(bytes, TOKEN).map_or_else(camphorspring::result_code::ResultCode::number, |_| 0);
             format!("{name}: {result}")
         })
         .collect();
@@ -133,7 +133,8 @@
     });
     let first = PeerNetwork::start(runtime.handle(), "127.0.0.1:0", identity("h1"), Arc::new(|_, _| {})).unwrap();
     let second = PeerNetwork::start(runtime.handle(), "127.0.0.1:0", identity("h2"), handler).unwrap();
-    let renewal = || PeerFrame::PermitRenewal(PermitRenewal { tickets: vec![1] });
+    let renewal =
+        || PeerFrame::PermitRenewal(PermitRenewal { tickets: vec![1], targets: vec!["t".to_owned()], last_ticket: 1 });
     expect_that!(first.sender()("h2", renewal()), eq(false), "no address is known");
     first.set_addresses(&[PeerAddress { host: "h2".to_owned(), address: second.address().to_string() }]);
     expect_that!(first.sender()("h2", renewal()), eq(true));
--- a/tests/integration/support/sim_cluster.rs
+++ b/tests/integration/support/sim_cluster.rs
@@ -191,7 +191,7 @@
     }
 
     fn send(&mut self, from: usize, to: usize, event: ControlEvent) {
-        let short = 1 + self.random_delay(20).as_millis() as u64;
+        let short = 1 + u64::try_from(self.random_delay(20).as_millis()).unwrap_or(u64::MAX);
         match self.links[from][to] {
             LinkMode::Cut => {}
             LinkMode::Held => self.held.push((from, to, event)),
--- a/tests/integration/usage/usage_harness.rs
+++ b/tests/integration/usage/usage_harness.rs
@@ -12,6 +12,7 @@
 use camphorspring::generated::platform_messages::{HostRecord, HostState, UsageReport};
 use camphorspring::platform::PlatformFault;
 use camphorspring::usage::UsageEvent;
+use camphorspring::usage::UsageTiming;
 use camphorspring::usage::usage_keeper::{UsageKeeper, UsageParts};
 use camphorspring::usage::usage_rows::{WindowStart, window_resource};
 use camphorspring::usage::window_closer::ReportSender;
@@ -96,6 +97,7 @@
             reports: self.sender(send_fault),
             clock: Arc::new(move || Duration::from_millis(boot_ms.load(Ordering::SeqCst))),
             wall: Arc::new(move || wall.load(Ordering::SeqCst)),
+            timing: UsageTiming::default(),
         });
         UsageHost { client, keeper, frozen: Mutex::default(), view }
     }
