Carry recent withdrawals in gossip, and drop what no one reads

A stamp's count was never read. Change: gossip carries the withdrawals of the last 15 s. The stamp has no count, and a request says that its sender is leaving only when it is. Conclusion: whoever hears gossip of a host learns its recent withdrawals.

--- a/src/control/control_state.rs
+++ b/src/control/control_state.rs
@@ -24,6 +24,7 @@
 use crate::prelude::*;
 use exchanges::DeferredNews;
 use store_flow::StoreFlow;
+use withdrawals::RecentKey;
 
 /// Something to do.
 #[derive(Debug, Clone, PartialEq)]
@@ -43,6 +44,7 @@
     generator: ChaCha8Rng,
     log: ConfigurationLog,
     withdrawn: WithdrawnSet,
+    recent: Vec<RecentKey>,
     watch: WithdrawalWatch,
     members: MemberTable,
     freshness: FreshnessTable,
@@ -71,6 +73,7 @@
             generator,
             log: ConfigurationLog::default(),
             withdrawn: WithdrawnSet::default(),
+            recent: Vec::new(),
             watch: WithdrawalWatch::default(),
             listed: Arc::default(),
             exchanges: ExchangeTable::default(),
--- a/src/control/control_state/exchanges.rs
+++ b/src/control/control_state/exchanges.rs
@@ -30,7 +30,8 @@
         let request = GossipRequest {
             exchange,
             beat: self.members.own_beat(),
-            leaving: self.is_leaving,
+            leaving: self.is_leaving.then_some(true),
+            recent: self.recent_withdrawn(now),
             stamp: self.stamp(None),
             roster,
             domains,
@@ -39,7 +40,7 @@
     }
 
     fn stamp(&self, age: Option<u32>) -> ViewStamp {
-        ViewStamp { version: self.log.version(), count: self.withdrawn.count(), hash: self.withdrawn.hash(), age }
+        ViewStamp { version: self.log.version(), hash: self.withdrawn.hash(), age }
     }
 
     pub(super) fn take_frame(
@@ -77,11 +78,13 @@
         now: BootTime,
         actions: &mut Vec<ControlAction>,
     ) {
-        let is_member = self.observe_sender(origin, request.beat, request.leaving, now);
+        let is_member = self.observe_sender(origin, request.beat, request.leaving.unwrap_or(false), now);
+        self.learn_withdrawn(origin, &request.recent, now, actions);
         self.compare_stamp(origin, &request.stamp, actions);
         let answer = GossipAnswer {
             exchange: request.exchange,
             beat: self.members.own_beat(),
+            recent: self.recent_withdrawn(now),
             stamp: self.stamp(self.freshness.store_age(now)),
             domains: self.freshness.columns(request.domains, now),
             members: is_member.then(|| self.members.digest(request.roster, now)),
@@ -112,6 +115,7 @@
         {
             self.members.merge(digest, exchange.roster, now);
         }
+        self.learn_withdrawn(origin, &answer.recent, now, actions);
         self.compare_stamp(origin, &answer.stamp, actions);
         self.take_news(origin, answer, &exchange, now);
     }
--- a/src/control/control_state/withdrawals.rs
+++ b/src/control/control_state/withdrawals.rs
@@ -9,12 +9,26 @@
 /// Hosts of each other failure domain that get a withdrawal at once.
 const FIRST_RECEIVERS: usize = 2;
 
+/// Time for which gossip carries a withdrawal.
+const RECENT_LIMIT: Duration = Duration::from_secs(15);
+
+/// Most withdrawals in one gossip frame.
+const RECENT_KEYS: usize = 16;
+
+/// A withdrawal learned a short time ago.
+#[derive(Debug, Clone)]
+pub(super) struct RecentKey {
+    key_id: KeyId,
+    since: BootTime,
+}
+
 impl ControlState {
     pub(super) fn withdraw(&mut self, key_id: KeyId, now: BootTime, actions: &mut Vec<ControlAction>) {
         self.watch.begin(&key_id, &self.origin.failure_domain, now);
         let added = self.withdrawn.add(std::slice::from_ref(&key_id));
         if !added.is_empty() {
             log::info!(key_id = key_id.as_str(); "key_withdrawn");
+            self.note_recent(&added, now);
         }
         let own_members = self.other_members(now);
         send_withdrawn(&own_members, &[key_id], actions);
@@ -59,16 +73,27 @@
         now: BootTime,
         actions: &mut Vec<ControlAction>,
     ) {
-        let added = self.withdrawn.add(&keys.key_ids);
+        self.learn_withdrawn(origin, &keys.key_ids, now, actions);
         if keys.whole_set {
             let missing = self.withdrawn.missing_from(&keys.key_ids);
             if !missing.is_empty() {
                 send_withdrawn(std::slice::from_ref(&origin.host), &missing, actions);
             }
         }
+    }
+
+    pub(super) fn learn_withdrawn(
+        &mut self,
+        origin: &PeerOrigin,
+        key_ids: &[KeyId],
+        now: BootTime,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let added = self.withdrawn.add(key_ids);
         if added.is_empty() {
             return;
         }
+        self.note_recent(&added, now);
         self.flow.note_learned(now);
         self.count_news(now);
         if origin.failure_domain != self.origin.failure_domain {
@@ -77,6 +102,20 @@
             send_withdrawn(&own_members, &added, actions);
         }
     }
+
+    fn note_recent(&mut self, key_ids: &[KeyId], now: BootTime) {
+        self.recent.retain(|recent| now.saturating_sub(recent.since) < RECENT_LIMIT);
+        self.recent.extend(key_ids.iter().map(|key_id| RecentKey { key_id: key_id.clone(), since: now }));
+        let excess = self.recent.len().saturating_sub(RECENT_KEYS);
+        self.recent.drain(..excess);
+    }
+
+    /// Withdrawals that every gossip frame carries. The frames that usually bring them can be lost while gossip
+    /// passes, for example when a send queue is full, and gossip is what makes others look fresh.
+    pub(super) fn recent_withdrawn(&self, now: BootTime) -> Vec<KeyId> {
+        let recent = self.recent.iter().filter(|recent| now.saturating_sub(recent.since) < RECENT_LIMIT);
+        recent.map(|recent| recent.key_id.clone()).collect()
+    }
 }
 
 fn send_withdrawn(hosts: &[HostId], key_ids: &[KeyId], actions: &mut Vec<ControlAction>) {
--- a/src/control/withdrawn_set.rs
+++ b/src/control/withdrawn_set.rs
@@ -58,12 +58,6 @@
         self.hash
     }
 
-    /// Number of ids.
-    #[must_use]
-    pub fn count(&self) -> u32 {
-        u32::try_from(self.order.len()).unwrap_or(u32::MAX)
-    }
-
     /// Whether an id is in the set.
     #[must_use]
     pub fn contains(&self, key_id: &str) -> bool {
--- a/tests/integration/control_faults.rs
+++ b/tests/integration/control_faults.rs
@@ -43,6 +43,7 @@
     CutAndStore,
     CutDomain,
     HoldFrames,
+    LoseUpdates,
     Duplicate,
     Reorder,
     StoreDown,
@@ -55,7 +56,7 @@
     HostListWrong,
 }
 
-const FAULTS: [FaultKind; 18] = [
+const FAULTS: [FaultKind; 19] = [
     FaultKind::Kill,
     FaultKind::Freeze,
     FaultKind::CutBothWays,
@@ -64,6 +65,7 @@
     FaultKind::CutAndStore,
     FaultKind::CutDomain,
     FaultKind::HoldFrames,
+    FaultKind::LoseUpdates,
     FaultKind::Duplicate,
     FaultKind::Reorder,
     FaultKind::StoreDown,
@@ -287,7 +289,7 @@
 }
 
 fn is_store_cut(kind: FaultKind) -> bool {
-    is_island(kind) || kind == FaultKind::StoreCut
+    is_island(kind) || matches!(kind, FaultKind::StoreCut | FaultKind::LoseUpdates)
 }
 
 fn store_mode(kind: FaultKind) -> Option<StoreMode> {
@@ -319,6 +321,7 @@
         | FaultKind::CutAndStore
         | FaultKind::CutDomain => LinkMode::Cut,
         FaultKind::HoldFrames => LinkMode::Held,
+        FaultKind::LoseUpdates => LinkMode::LoseUpdates,
         FaultKind::Duplicate => LinkMode::Duplicate,
         FaultKind::Reorder => LinkMode::Reorder,
         _ => return,
--- a/tests/integration/peer_frames.rs
+++ b/tests/integration/peer_frames.rs
@@ -6,7 +6,7 @@
 use camphorspring::constants::PEER_FRAME_LIMIT;
 use camphorspring::control::PeerOrigin;
 use camphorspring::generated::peer_messages::{
-    DomainColumns, GossipAnswer, MemberDigest, MemberRoster, PeerFrame, PermitRenewal, ViewStamp, WithdrawnKeys,
+    DomainColumns, GossipAnswer, MemberDigest, MemberRoster, PeerFrame, UsageFlushed, ViewStamp, WithdrawnKeys,
 };
 use camphorspring::peer::frame_codec::{check_hello, create_hello, decode_frame, encode_frame, encode_hello};
 use camphorspring::peer::{PeerAddress, PeerIdentity, PeerNetwork};
@@ -40,7 +40,8 @@
             PeerFrame::GossipAnswer(GossipAnswer {
                 exchange,
                 beat: exchange,
-                stamp: ViewStamp { version: hash, count: exchange, hash, age },
+                recent: Vec::new(),
+                stamp: ViewStamp { version: hash, hash, age },
                 domains: DomainColumns { ages: beats.clone(), live: vec![3; beats.len()], names: Some(names) },
                 members: Some(MemberDigest { beats, leaving: vec![1], roster }),
             })
@@ -133,12 +134,12 @@
     });
     let first = PeerNetwork::start(runtime.handle(), "127.0.0.1:0", identity("h1"), Arc::new(|_, _| {})).unwrap();
     let second = PeerNetwork::start(runtime.handle(), "127.0.0.1:0", identity("h2"), handler).unwrap();
-    let renewal = || PeerFrame::PermitRenewal(PermitRenewal { tickets: vec![1] });
-    expect_that!(first.sender()("h2", renewal()), eq(false), "no address is known");
+    let flushed = || PeerFrame::UsageFlushed(UsageFlushed { keys: vec!["row".to_owned()] });
+    expect_that!(first.sender()("h2", flushed()), eq(false), "no address is known");
     first.set_addresses(&[PeerAddress { host: "h2".to_owned(), address: second.address().to_string() }]);
-    expect_that!(first.sender()("h2", renewal()), eq(true));
+    expect_that!(first.sender()("h2", flushed()), eq(true));
     wait_for("the frame arrives", || received.load(Ordering::Relaxed) == 1);
-    expect_that!(second.sender()("h1", renewal()), eq(true), "the accepted link is used");
+    expect_that!(second.sender()("h1", flushed()), eq(true), "the accepted link is used");
     wait_for("bytes are counted", || first.counters().other_received.get() > 0);
     expect_that!(first.counters().control_received.get(), eq(0));
 
@@ -153,7 +154,7 @@
         while let Some(Ok(_)) = socket.next().await {}
     });
     expect_that!(second.counters().links_rejected.get(), eq(1));
-    wait_for("a new frame arrives", || first.sender()("h2", renewal()) && received.load(Ordering::Relaxed) > 1);
+    wait_for("a new frame arrives", || first.sender()("h2", flushed()) && received.load(Ordering::Relaxed) > 1);
     first.stop();
     second.stop();
     wait_for("links are closed", || first.counters().links_open.get() == 0 && second.counters().links_open.get() == 0);
--- a/tests/integration/support/sim_cluster.rs
+++ b/tests/integration/support/sim_cluster.rs
@@ -9,6 +9,7 @@
 use camphorspring::control::control_state::{ControlAction, ControlState};
 use camphorspring::control::store_call::{StoreCommand, StoreReport};
 use camphorspring::control::{ControlEvent, ControlView, PeerOrigin};
+use camphorspring::generated::peer_messages::PeerFrame;
 use camphorspring::generated::platform_messages::{HostRecord, HostState};
 use camphorspring::platform::PlatformFault;
 use rand::{RngExt, SeedableRng};
@@ -44,6 +45,8 @@
     Duplicate,
     /// Frames overtake each other and take up to a second.
     Reorder,
+    /// Frames that bring a host up to date are lost, as by a full queue; gossip passes.
+    LoseUpdates,
     /// Frames wait until the link is up again, as in a send buffer.
     Held,
     Cut,
@@ -194,8 +197,9 @@
         let short = Duration::from_millis(1) + self.random_delay(20);
         match self.links[from][to] {
             LinkMode::Cut => {}
+            LinkMode::LoseUpdates if is_update(&event) => {}
             LinkMode::Held => self.held.push((from, to, event)),
-            LinkMode::Up => self.push(to, short, SimEvent::Deliver(Box::new(event))),
+            LinkMode::Up | LinkMode::LoseUpdates => self.push(to, short, SimEvent::Deliver(Box::new(event))),
             LinkMode::Duplicate => {
                 let late = self.random_delay(2500);
                 self.push(to, short, SimEvent::Deliver(Box::new(event.clone())));
@@ -335,7 +339,12 @@
     }
 }
 
-/// Whether frames arrive within a second.
+fn is_update(event: &ControlEvent) -> bool {
+    let ControlEvent::Frame(_, frame) = event else { return false };
+    matches!(**frame, PeerFrame::ChangesAnswer(_) | PeerFrame::WithdrawnKeys(_) | PeerFrame::SnapshotPart(_))
+}
+
+/// Whether gossip arrives within a second.
 pub fn is_passing(mode: LinkMode) -> bool {
     !matches!(mode, LinkMode::Cut | LinkMode::Held)
 }
