--- a/tests/integration/gateway.rs
+++ b/tests/integration/gateway.rs
@@ -86,7 +86,7 @@
     let (status, broken) = bench.complete(body);
     expect_that!(status, eq(200));
     expect_that!(broken, contains_substring("event: error"));
-    expect_that!(broken, contains_substring("1601"));
+    expect_that!(broken, contains_substring("\"code\":1601"));
     expect_that!(broken, not(contains_substring("[DONE]")));
 }
 
@@ -192,7 +192,7 @@
     bench.change_view(|view| view.withdrawn = std::sync::Arc::new(vec!["north1".to_owned()]));
     let (status, body) = caller.join().unwrap();
     expect_that!(status, eq(200));
-    expect_that!(body, contains_substring("1603"));
+    expect_that!(body, contains_substring("\"code\":1603"));
     expect_that!(body, not(contains_substring("[DONE]")));
     wait_until("the permit is back", || bench.reports.lock().unwrap().len() == 1);
     expect_that!(engine.runs(), eq(1));
--- a/tests/integration/peer_frames.rs
+++ b/tests/integration/peer_frames.rs
@@ -133,7 +133,8 @@
     });
     let first = PeerNetwork::start(runtime.handle(), "127.0.0.1:0", identity("h1"), Arc::new(|_, _| {})).unwrap();
     let second = PeerNetwork::start(runtime.handle(), "127.0.0.1:0", identity("h2"), handler).unwrap();
-    let renewal = || PeerFrame::PermitRenewal(PermitRenewal { tickets: vec![1] });
+    let renewal =
+        || PeerFrame::PermitRenewal(PermitRenewal { tickets: vec![1], last_ticket: 1, targets: vec!["t1".to_owned()] });
     expect_that!(first.sender()("h2", renewal()), eq(false), "no address is known");
     first.set_addresses(&[PeerAddress { host: "h2".to_owned(), address: second.address().to_string() }]);
     expect_that!(first.sender()("h2", renewal()), eq(true));
--- a/tests/integration/quarantine.rs
+++ b/tests/integration/quarantine.rs
@@ -141,12 +141,12 @@
     let body = r#"{"model":"pile","prompt":"crash","max_tokens":4}"#;
     let (status, answer) = bench.complete(body);
     expect_that!(status, eq(502));
-    expect_that!(answer, contains_substring("1601"));
+    expect_that!(answer, contains_substring("\"code\":1601"));
     let runs: usize = engines.iter().map(ScriptedTarget::runs).sum();
     expect_that!(runs, eq(2));
     let (status, answer) = bench.complete(body);
     expect_that!(status, eq(422));
-    expect_that!(answer, contains_substring("1204"));
+    expect_that!(answer, contains_substring("\"code\":1204"));
     let (status, _) = bench.complete(r#"{"model":"pile","prompt":"other","max_tokens":4,"seed":1}"#);
     expect_that!(status, eq(200));
 }
