--- a/src/dispatch/home_state.rs
+++ b/src/dispatch/home_state.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::ask_table::{AskKey, AskState, AskTable, GrantedPermit, ShardName};
 use crate::dispatch::home_shard::{HomeShard, ShardDecision, WaitingAsk};
 use crate::dispatch::home_target::HomeTarget;
+use crate::dispatch::home_upkeep::is_dead;
 use crate::dispatch::shard_view::{ShardLayout, shard_home};
 use crate::generated::peer_messages::{PermitGrant, PermitOutcome, PermitRelease, PermitRequest};
 use crate::policy::capacity_share::{DomainSight, ShareHistory};
@@ -41,6 +42,7 @@
     pub(super) sight: DomainSight,
     pub(super) home_names: Vec<ShardName>,
     pub(super) last_time: Option<BootTime>,
+    pub(super) scanned_at: BootTime,
 }
 
 impl HomeState {
@@ -57,6 +59,7 @@
             sight: DomainSight { listed: 0, seen: 0, sees_lowest: false },
             home_names: Vec::new(),
             last_time: None,
+            scanned_at: BootTime::ZERO,
         }
     }
 
@@ -105,8 +108,8 @@
         let key = AskKey::new(from, release.ticket);
         if let Some(AskState::Granted(permit)) = self.end_ask(&key, now) {
             self.settle_permit(now, &permit, release);
+            answers.extend(self.serve_shard(view, now, &permit.shard));
         }
-        answers.extend(self.serve_all(view, now));
         answers
     }
 
@@ -135,9 +138,12 @@
                 }
             }
             Some(AskState::Granted(permit)) => {
-                if let Some(target) = self.target_mut(&permit.target) {
+                if let Some(target) = self.permit_target(permit) {
                     target.drop_permit();
                 }
+                if let Some(shard) = self.shard_mut(&permit.shard) {
+                    shard.reserve.give_slot(&permit.organisation);
+                }
             }
             Some(AskState::Ended { .. }) | None => {}
         }
@@ -145,21 +151,28 @@
     }
 
     /// Serves all queues.
-    pub(super) fn serve_all(&mut self, view: &Arc<ControlView>, now: BootTime) -> Vec<HomeAnswer> {
-        let is_stale = is_stale(view, now);
-        let is_allowed = |ask: &WaitingAsk| {
-            if ask.expires_at <= now {
-                return Err(ResultCode::QueueTimeout);
-            }
-            check_origin(view, is_stale, &ask.failure_domain)
-        };
+    pub(super) fn serve_all(&mut self, view: &ControlView, now: BootTime) -> Vec<HomeAnswer> {
         let mut decisions = Vec::new();
         for shard in &mut self.shards {
-            decisions.extend(shard.serve(now, &self.shares, is_allowed));
+            decisions.extend(serve(shard, &self.shares, view, now));
         }
         decisions.into_iter().map(|decision| self.answer_decision(now, decision)).collect()
     }
 
+    /// Serves the queue of one shard.
+    pub(super) fn serve_shard(&mut self, view: &ControlView, now: BootTime, name: &ShardName) -> Vec<HomeAnswer> {
+        let Ok(position) = self.shards.binary_search_by(|shard| shard.name.cmp(name)) else { return Vec::new() };
+        let decisions = serve(&mut self.shards[position], &self.shares, view, now);
+        decisions.into_iter().map(|decision| self.answer_decision(now, decision)).collect()
+    }
+
+    /// Target of a permit; another shard has it when the map changed since.
+    pub(super) fn permit_target(&mut self, permit: &GrantedPermit) -> Option<&mut HomeTarget> {
+        let has_target = self.shard_mut(&permit.shard).is_some_and(|shard| shard.has_target(&permit.target));
+        let shard = if has_target { self.shard_mut(&permit.shard) } else { self.shard_of_target(&permit.target) };
+        shard?.target_mut(&permit.target)
+    }
+
     pub(super) fn shard_mut(&mut self, name: &ShardName) -> Option<&mut HomeShard> {
         let position = self.shards.binary_search_by(|shard| shard.name.cmp(name)).ok()?;
         Some(&mut self.shards[position])
@@ -173,9 +186,13 @@
         request: &PermitRequest,
     ) -> Result<Vec<HomeAnswer>, HomeRefusal> {
         check_origin(view, is_stale(view, now), &from.failure_domain)?;
+        // A permit of a host that the view shows as dead would be dropped while its request runs.
+        if is_dead(view, &AskKey::new(from, request.ticket)) {
+            return Err(HomeRefusal::from(ResultCode::NotReady));
+        }
         let name = check_home(view, request)?;
         let weight = organisation_weight(view, &request.organisation);
-        let Some(position) = self.shards.iter().position(|shard| shard.name == name) else {
+        let Ok(position) = self.shards.binary_search_by(|shard| shard.name.cmp(&name)) else {
             return Err(HomeRefusal::from(ResultCode::NoTarget));
         };
         let shard = &mut self.shards[position];
@@ -194,7 +211,7 @@
             expires_at: now + wait,
         };
         let mut answers = self.queue_ask(now, position, weight, ask)?;
-        answers.extend(self.serve_all(view, now));
+        answers.extend(self.serve_shard(view, now, &name));
         let key = AskKey::new(from, request.ticket);
         if matches!(self.asks.get(&key), Some(AskState::Waiting { .. })) {
             answers.push(self.waiting_answer(view, now, &key, request));
@@ -210,6 +227,7 @@
         ask: WaitingAsk,
     ) -> Result<Vec<HomeAnswer>, HomeRefusal> {
         let shard = &mut self.shards[position];
+        shard.reserve.note_ask(now, &ask.request.organisation, weight);
         let name = shard.name.clone();
         let key = ask.key.clone();
         // Without a step deadline the end of the wait orders the queue, so that no request waits forever.
@@ -234,7 +252,9 @@
         match decision {
             ShardDecision::Granted(ask, target) => {
                 let answer = granted_answer(&ask.key, &target);
+                let shard = ShardName { service: ask.request.service, index: ask.request.shard };
                 let permit = GrantedPermit {
+                    shard,
                     target,
                     organisation: ask.request.organisation,
                     expected_tokens: ask.request.expected_tokens.max(1),
@@ -251,10 +271,11 @@
     }
 
     fn settle_permit(&mut self, now: BootTime, permit: &GrantedPermit, release: &PermitRelease) {
-        let Some(shard) = self.shard_of_target(&permit.target) else { return };
-        shard.queue.correct(&permit.organisation, permit.expected_tokens, release.tokens);
-        shard.count_tokens(now, release.tokens);
-        let Some(target) = shard.target_mut(&permit.target) else { return };
+        if let Some(shard) = self.shard_mut(&permit.shard) {
+            shard.queue.correct(&permit.organisation, permit.expected_tokens, release.tokens);
+            shard.count_tokens(now, release.tokens);
+        }
+        let Some(target) = self.permit_target(permit) else { return };
         match release.outcome {
             PermitOutcome::Finished => {
                 let first_token = Duration::from_millis(u64::from(release.first_token_ms));
@@ -310,6 +331,19 @@
     Ok(ShardName { service: request.service.clone(), index: request.shard })
 }
 
+fn serve(shard: &mut HomeShard, shares: &ShareHistory, view: &ControlView, now: BootTime) -> Vec<ShardDecision> {
+    let is_stale = is_stale(view, now);
+    shard.serve(now, shares, |ask| {
+        if ask.expires_at <= now {
+            return Err(ResultCode::QueueTimeout);
+        }
+        if is_dead(view, &ask.key) {
+            return Err(ResultCode::NotReady);
+        }
+        check_origin(view, is_stale, &ask.failure_domain)
+    })
+}
+
 /// Weight of an organisation; open routes and unknown ones have weight 1.
 fn organisation_weight(view: &ControlView, organisation: &str) -> f64 {
     view.configuration.organisation(organisation).map_or(1.0, |entry| entry.weight)
@@ -332,7 +366,7 @@
 
 fn granted_answer(key: &AskKey, target: &str) -> HomeAnswer {
     let target = Some(target.to_owned());
-    let grant = PermitGrant { ticket: key.ticket, result_code: 0, target, expected_wait_ms: Some(0), home: None };
+    let grant = PermitGrant { ticket: key.ticket, result_code: 0, target, expected_wait_ms: None, home: None };
     HomeAnswer { to: key.clone(), grant }
 }
 
--- a/src/gateway/step_routes.rs
+++ b/src/gateway/step_routes.rs
@@ -1,5 +1,6 @@
 //! Steps, batches and weights: checks of the request, then the functions of `samples`.
 
+use crate::gateway::caller_key::authenticate_admitted;
 use crate::gateway::paths::{is_token, percent_decode};
 use crate::gateway::request_trace::RequestTrace;
 use crate::gateway::{Answered, RequestContext};
@@ -28,7 +29,8 @@
     trainer: &str,
     step: &str,
 ) -> Result<Answered, ResultCode> {
-    let caller = context.authenticate(trace)?;
+    let caller = authenticate_admitted(&context.view, context.request)?;
+    trace.organisation.clone_from(&caller.organisation);
     let step: u64 = step.parse().map_err(|_| ResultCode::BadRequest)?;
     if !is_token(trainer) {
         return Err(ResultCode::BadRequest);
--- a/src/serve/operator_parts.rs
+++ b/src/serve/operator_parts.rs
@@ -6,11 +6,14 @@
 use crate::control::configuration_writer::{ChangeError, ConfigurationWriter};
 use crate::generated::caller_messages::{ApplyAnswer, GrantAnswer, TargetView, WithdrawAnswer};
 use crate::generated::process_settings::ProcessSettings;
+use crate::metrics::HostGauges;
 use crate::operator::{OperatorFault, OperatorParts};
 use crate::platform::PlatformClient;
+use crate::platform::store_access::StoreAccess;
 use crate::prelude::*;
 use crate::report::burn_recorder::BurnRecorder;
 use crate::report::refusal_log::RefusalLog;
+use crate::usage::window_usage::window_usage;
 
 /// Author that the configuration log names; operators share one token.
 const AUTHOR: &str = "operator";
@@ -39,9 +42,11 @@
     let writer = Arc::new(ConfigurationWriter::new(control.clone(), client.clone()));
     let (grants, withdrawals, placements) = (Arc::clone(&writer), Arc::clone(&writer), Arc::clone(&writer));
     let target_control = control.clone();
+    let store = StoreAccess::of_client(client);
     OperatorParts {
         token: settings.operator_token.clone(),
         control: control.clone(),
+        gauges: HostGauges::new(&registry),
         registry,
         apply: Box::new(move |request| {
             let applied = writer.apply_text(&request.text, request.expect_version, AUTHOR)?;
@@ -61,7 +66,10 @@
             let version = placements.set_placement(kind, &request.name, request.out, AUTHOR)?;
             Ok(ApplyAnswer { version, changed_items: 1 })
         }),
-        usage: Box::new(|_| Err(ResultCode::NotFound.into())),
+        usage: Box::new(move |window| {
+            let usage = window_usage(&store, window).map_err(|_| OperatorFault::from(ResultCode::StoreUnavailable))?;
+            Ok(usage.figures)
+        }),
         burn: Box::new(move || recorder.answer(boot_time())),
         refusals: Box::new(move || refusals.list(boot_time())),
         targets: Box::new(move || target_views(&target_control)),
--- a/src/usage/window_plan.rs
+++ b/src/usage/window_plan.rs
@@ -5,6 +5,7 @@
 
 use crate::prelude::*;
 use crate::samples::host_rank::host_rank;
+use crate::usage::UsageTiming;
 use crate::usage::usage_rows::{WindowStart, window_resource};
 
 /// Time between two ranks; a dead owner's lease has ended by then.
@@ -25,10 +26,17 @@
 /// Windows that this host wants, sorted.
 #[derive(Debug, Clone, Default)]
 pub struct WindowPlan {
+    timing: UsageTiming,
     wanted: Vec<WindowStart>,
 }
 
 impl WindowPlan {
+    /// Plan without windows.
+    #[must_use]
+    pub fn new(timing: UsageTiming) -> Self {
+        Self { timing, wanted: Vec::new() }
+    }
+
     /// Compares the windows that are not reported with those wanted. `wall` is the time of the wall clock in seconds.
     pub fn look(&mut self, host: &str, hosts: &[HostId], open: Vec<WindowStart>, wall: u64) -> Vec<WindowAction> {
         let mut actions = Vec::new();
@@ -41,7 +49,7 @@
         for window in open {
             let rank = host_rank(&window_resource(window), host, hosts);
             let rank = u64::try_from(rank).unwrap_or(u64::MAX);
-            let delay = USAGE_WINDOW + USAGE_FREEZE_DELAY;
+            let delay = self.timing.window + self.timing.freeze_delay;
             let due = window + delay.as_secs() + rank.saturating_mul(RANK_DELAY.as_secs());
             if wall < due || self.wanted.len() >= WINDOWS_WANTED {
                 continue;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,7 +1,10 @@
 //! Integration tests by topic.
 
+mod bookings;
 mod claims_model;
+mod coalescing;
 mod command_line;
+mod control_faults;
 mod control_links;
 mod dispatch;
 mod gateway;
@@ -9,7 +12,10 @@
 mod memory_store;
 mod operator;
 mod orders;
+mod peer_frames;
 mod policy;
+mod process_faults;
+mod quarantine;
 mod report;
 mod samples;
 mod settings;
--- a/tests/integration/policy/routing.rs
+++ b/tests/integration/policy/routing.rs
@@ -107,7 +107,11 @@
 
     /// Guards against a step of which one domain holds more than half while another has targets.
     #[test]
-    fn no_domain_holds_over_half_of_step(domains in 2_usize..5, requests in 2_u32..200) {
+    fn no_domain_holds_over_half_of_step(
+        domains in 2_usize..5,
+        requests in 2_u32..200,
+        ranks in prop::collection::vec(any::<u64>(), 5),
+    ) {
         let names = ids(0..domains);
         let mut counts = vec![0_u32; domains];
         for _ in 0..requests {
@@ -118,6 +122,7 @@
                 is_failing: false,
                 expected_wait: None,
                 step_requests: counts[index],
+                prompt_rank: ranks[index],
             };
             let options: Vec<DomainOption<'_>> = (0..domains).map(option).collect();
             let first = order_domains(&options, true)[0];
@@ -196,3 +201,12 @@
     expect_that!(choose(8, 7), some(eq(1)));
     expect_that!(choose(8, 8), none());
 }
+
+/// Guards against prefix hashes other than those that engines publish, which no cache event would ever match.
+#[googletest::test]
+fn prompt_prefixes_match_engine() {
+    let prompt = "a shared start of a prompt, ".repeat(20);
+    let hashes = camphorspring::policy::prompt_prefix::prompt_prefixes(&prompt);
+    expect_that!(hashes.len(), eq(8));
+    expect_that!(hashes, eq(&camphorspring_standins::engine::prefix_hashes(&prompt)));
+}
--- a/tests/integration/traffic_bench.rs
+++ b/tests/integration/traffic_bench.rs
@@ -17,6 +17,8 @@
 use camphorspring::platform::PlatformClient;
 use camphorspring::report::burn_recorder::BurnRecorder;
 use camphorspring::result_code::ResultCode;
+use camphorspring::traffic::claim_store::ClaimStore;
+use camphorspring::traffic::crash_guard::CrashGuard;
 use camphorspring::traffic::engine_runner::EngineParts;
 use camphorspring::traffic::retry_policy::RetryPolicy;
 use camphorspring::usage::UsageEvent;
@@ -88,7 +90,7 @@
         let faults: Arc<Mutex<VecDeque<TargetFault>>> = Arc::default();
         let (seen, script) = (Arc::clone(&requests), Arc::clone(&faults));
         let handler: RequestHandler = Arc::new(move |request| {
-            let is_run = !request.path.starts_with("/kv/") && request.path != "/v1/cancel";
+            let is_run = !is_side_call(&request.path);
             let fault = if is_run { script.lock().unwrap().pop_front() } else { None };
             let reply = answer(&request, fault.unwrap_or(TargetFault::None));
             seen.lock().unwrap().push(request);
@@ -106,10 +108,14 @@
     /// Requests that were run, without cancel and KV calls.
     pub fn runs(&self) -> usize {
         let requests = self.requests.lock().unwrap();
-        requests.iter().filter(|request| !request.path.starts_with("/kv/") && request.path != "/v1/cancel").count()
+        requests.iter().filter(|request| !is_side_call(&request.path)).count()
     }
 }
 
+fn is_side_call(path: &str) -> bool {
+    path.starts_with("/v1/kv/") || path.ends_with("/cancel")
+}
+
 /// A reply whose body breaks off at once, so that the connection closes without an answer that can be used.
 fn aborted_reply() -> HttpReply {
     let (_, body) = ReplyBody::streamed();
@@ -281,6 +287,9 @@
         let usage: Arc<Mutex<Vec<UsageEvent>>> = Arc::default();
         let reports: Arc<Mutex<Vec<PermitReport>>> = Arc::default();
         let permit_refusal: Arc<Mutex<Option<ResultCode>>> = Arc::default();
+        let crash_view = Arc::clone(&view);
+        let crashes =
+            CrashGuard::new(Arc::new(move || crash_view.load_full()), Arc::new(boot_time), Arc::new(|_, _| true));
         let (view_source, usage_sink) = (Arc::clone(&view), Arc::clone(&usage));
         let engine = EngineParts {
             permits: first_target_source(Arc::clone(&view), Arc::clone(&reports), Arc::clone(&permit_refusal)),
@@ -288,12 +297,15 @@
             usage: Arc::new(move |event| usage_sink.lock().unwrap().push(event)),
             retries: RetryPolicy::unlimited(Arc::new(|| 0.5)),
             clock: Arc::new(boot_time),
+            crashes,
         };
+        let claims =
+            ClaimStore::start(PlatformClient::new(platform_url), Arc::clone(&engine.view), Arc::clone(&engine.clock));
         let registry = prometheus::Registry::new();
         let objectives = Arc::new(BurnRecorder::new("host-1", "north", Duration::ZERO));
         let parts = GatewayParts {
             engine,
-            platform: PlatformClient::new(platform_url),
+            claims,
             submit_step: Arc::new(|_, _| Err(ResultCode::NotFound)),
             next_batch: Arc::new(|organisation, trainer, step, cursor, _| {
                 Ok(format!("{organisation} {trainer} {step} {cursor}").into_bytes())
