Start weight releases and target orders, and pass prompt prefixes to the homes

Cause: weights, target orders and prefix hashes existed as parts that no running host used. Change: the host starts the weight and order keepers; homes send the demand of their shards to the hosts that may own the domain's orders; completions carry prefix hashes; targets show what their home knows. The delay between ranks that report a usage window falls from 20 s to 5 s, since the lease decides who reports.

--- a/src/admin/output.rs
+++ b/src/admin/output.rs
@@ -59,11 +59,15 @@
         target.service.clone(),
         target.failure_domain.clone(),
         placement.to_owned(),
-        target.running.to_string(),
-        target.limit.to_string(),
+        shown(target.running),
+        shown(target.limit),
     ]
 }
 
+fn shown(figure: Option<u32>) -> String {
+    figure.map_or_else(|| "-".to_owned(), |figure| figure.to_string())
+}
+
 /// Table of refusals.
 #[must_use]
 pub fn refusal_table(refusals: &[RefusalRecord]) -> String {
--- a/src/dispatch/dispatch_threads.rs
+++ b/src/dispatch/dispatch_threads.rs
@@ -12,12 +12,14 @@
 use crate::dispatch::dispatch_metrics::DispatchMetrics;
 use crate::dispatch::entry_ask::AskNumber;
 use crate::dispatch::entry_state::GrantedTarget;
+use crate::dispatch::home_shard::HomeShard;
 use crate::dispatch::target_probe::{ProbePlan, run_probes};
 use crate::dispatch::{Permit, PermitAsk, PermitReport, PermitSource};
 use crate::generated::engine_messages::{CacheEvent, EngineLoad};
-use crate::generated::peer_messages::PeerFrame;
+use crate::generated::peer_messages::{PeerFrame, ShardDemand, TargetDemand};
 use crate::generated::services_text::ServiceKind;
 use crate::peer::{FrameHandler, FrameSender};
+use crate::policy::capacity_share::ShareHistory;
 use crate::prelude::*;
 
 /// Period of the tick thread.
@@ -81,6 +83,30 @@
     pub fn held_permits(&self) -> usize {
         self.shared.lock().core.entry.held_permits()
     }
+
+    /// Demand of the shards that this host is the home of.
+    #[must_use]
+    pub fn shard_demands(&self) -> Vec<ShardDemand> {
+        let now = (self.shared.clock)();
+        let state = self.shared.lock();
+        let home = &state.core.home;
+        home.shards.iter().map(|shard| shard_demand(shard, &home.shares, now)).collect()
+    }
+}
+
+fn shard_demand(shard: &HomeShard, shares: &ShareHistory, now: BootTime) -> ShardDemand {
+    let targets = shard.targets.iter().map(|target| TargetDemand {
+        target: target.entry.id.clone(),
+        running: target.running(),
+        limit: target.limit(now, shares),
+        reported: target.has_reported(now),
+    });
+    ShardDemand {
+        service: shard.name.service.clone(),
+        shard: shard.name.index,
+        queued: u32::try_from(shard.queue.len()).unwrap_or(u32::MAX),
+        targets: targets.collect(),
+    }
 }
 
 impl Drop for DispatchHandle {
--- a/src/dispatch/home_target.rs
+++ b/src/dispatch/home_target.rs
@@ -11,6 +11,9 @@
 /// Start times that differ by less are the same start; a report's age is rounded and lags.
 const START_TOLERANCE: Duration = Duration::from_secs(2);
 
+/// Time without a load report after which a target counts as down.
+const REPORT_LIMIT: Duration = Duration::from_secs(10);
+
 /// Least and most own permits of one report period.
 #[derive(Debug, Clone, Copy)]
 struct OwnRange {
@@ -53,6 +56,7 @@
     own: OwnRange,
     last_own: OwnRange,
     started_at: Option<BootTime>,
+    reported_at: Option<BootTime>,
 }
 
 impl HomeTarget {
@@ -73,6 +77,7 @@
             own: OwnRange::at(in_flight),
             last_own: OwnRange::at(in_flight),
             started_at: None,
+            reported_at: None,
         }
     }
 
@@ -117,6 +122,7 @@
     /// since a target with short requests would else seem to run foreign ones all the time.
     pub fn apply_load(&mut self, now: BootTime, load: &EngineLoad, is_divided: bool) -> bool {
         self.weight_version = Some(load.weight_version);
+        self.reported_at = Some(now);
         let least = self.own.least.min(self.last_own.least);
         let most = self.own.most.max(self.last_own.most);
         self.foreign = load.running.saturating_sub(if is_divided { least } else { most });
@@ -143,6 +149,12 @@
         self.in_flight.saturating_add(self.foreign.max(self.lost))
     }
 
+    /// Whether the target has reported its load lately.
+    #[must_use]
+    pub fn has_reported(&self, now: BootTime) -> bool {
+        self.reported_at.is_some_and(|reported_at| now.saturating_sub(reported_at) < REPORT_LIMIT)
+    }
+
     /// Most requests at one time by this home.
     #[must_use]
     pub fn limit(&self, now: BootTime, shares: &ShareHistory) -> u32 {
--- a/src/serve/host_parts.rs
+++ b/src/serve/host_parts.rs
@@ -11,13 +11,17 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::runtime::{Builder, Runtime};
 
+use crate::control::configuration_writer::{ConfigurationWriter, PlacementKind};
 use crate::control::control_thread::{ControlSettings, control_frame_handler, create_control, start_control};
 use crate::control::{ControlHandle, PeerOrigin};
 use crate::dispatch::dispatch_threads::{DispatchHandle, DispatchSetup, start_dispatch};
-use crate::gateway::{GatewayParts, caller_handler};
+use crate::gateway::{GatewayParts, WeightReleaser, caller_handler};
+use crate::generated::peer_messages::PeerFrame;
 use crate::generated::process_settings::ProcessSettings;
 use crate::http_server::{HttpServer, ServerLimits};
 use crate::operator::operator_handler;
+use crate::orders::demand_board::{DEMAND_PERIOD, DemandBoard, send_demands};
+use crate::orders::order_keeper::{OrderKeeper, OrderParts, order_sender};
 use crate::peer::FrameHandler;
 use crate::peer::network::{PeerIdentity, PeerNetwork};
 use crate::platform::PlatformClient;
@@ -27,6 +31,8 @@
 use crate::report::refusal_log::RefusalLog;
 use crate::samples::StepService;
 use crate::samples::plain_grader::PlainGrader;
+use crate::samples::weight_keeper::WeightKeeper;
+use crate::samples::weight_release::release_weights;
 use crate::serve::operator_parts::operator_parts;
 use crate::serve::retry_functions::retry_policy;
 use crate::traffic::claim_store::ClaimStore;
@@ -45,6 +51,12 @@
 /// Time that a planned stop waits for answers that the store has not taken; without them the outcome is unknown.
 const CLAIM_SETTLE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Author that the configuration log names for placements by the target orders.
+const ORDER_AUTHOR: &str = "target-orders";
+
+/// Period in which background threads look whether they shall end.
+const STOP_POLL: Duration = Duration::from_millis(100);
+
 /// Requests of operators handled at one time.
 const OPERATOR_REQUESTS: usize = 16;
 
@@ -94,9 +106,14 @@
         let usage = UsageKeeper::new(usage_parts(settings, &control, &client, &network));
         let (permit_frames, crash_frames) = (Arc::clone(&dispatch.frame_handler), Arc::clone(&crashes));
         let usage_frames = Arc::clone(&usage);
+        let board = Arc::new(DemandBoard::default());
+        let demand_frames = Arc::clone(&board);
         let _ = late_handler.set(Arc::new(move |from, frame| {
             crash_frames.take_frame(from, &frame);
             usage_frames.take_frame(&frame);
+            if let PeerFrame::ShardDemand(demand) = &frame {
+                demand_frames.note(&from.host, demand.clone(), boot_time());
+            }
             permit_frames(from, frame);
         }));
         let dispatch = Arc::new(dispatch);
@@ -105,13 +122,22 @@
         let engine = engine_parts(&control, &dispatch, retries, crashes, usage.sink());
         let steps = start_steps(&control, &client, &engine, &registry);
         let stopping = Arc::new(AtomicBool::new(false));
-        let keepers = vec![steps.start_keeper(Arc::clone(&stopping))?, usage.start(Arc::clone(&stopping))?];
+        let weights = WeightKeeper::new(control.clone(), StoreAccess::of_client(&client), Arc::new(boot_time));
+        let orders = OrderKeeper::new(order_parts(settings, &control, &client, &board));
+        let keepers = vec![
+            steps.start_keeper(Arc::clone(&stopping))?,
+            usage.start(Arc::clone(&stopping))?,
+            weights.start(Arc::clone(&stopping))?,
+            orders.start(Arc::clone(&stopping))?,
+            start_demand_sender(&control, &network, &dispatch, &board, Arc::clone(&stopping))?,
+        ];
         let recorder = Arc::new(BurnRecorder::new(&settings.host, &settings.failure_domain, boot_time()));
         let refusals = Arc::new(RefusalLog::default());
         let claims = ClaimStore::start(client.clone(), Arc::clone(&engine.view), Arc::clone(&engine.clock));
-        let parts = gateway_parts(engine, &claims, &steps, &registry, &recorder, &refusals);
+        let mut parts = gateway_parts(engine, &claims, &steps, &registry, &recorder, &refusals);
+        parts.release_weights = weight_releaser(&control, &client);
         let callers = HttpServer::start(&runtime, &settings.caller_address, limits(settings), caller_handler(parts))?;
-        let operators = operator_parts(settings, &control, &client, registry, recorder, refusals);
+        let operators = operator_parts(settings, &control, &client, registry, recorder, refusals, &dispatch);
         let operator_limits = ServerLimits { requests: OPERATOR_REQUESTS, ..ServerLimits::default() };
         let operators =
             HttpServer::start(&runtime, &settings.operator_address, operator_limits, operator_handler(operators))?;
@@ -243,6 +269,53 @@
     }
 }
 
+fn order_parts(
+    settings: &ProcessSettings,
+    control: &ControlHandle,
+    client: &PlatformClient,
+    board: &Arc<DemandBoard>,
+) -> OrderParts {
+    let (view_source, demands) = (control.clone(), Arc::clone(board));
+    let writer = ConfigurationWriter::new(control.clone(), client.clone());
+    OrderParts {
+        control: control.clone(),
+        store: StoreAccess::of_client(client),
+        demand: Arc::new(move |_| demands.demand(&view_source.view(), boot_time())),
+        orders: order_sender(&settings.platform_url),
+        placements: Arc::new(move |target, out| {
+            let placed = writer.set_placement(PlacementKind::Target, target, out, ORDER_AUTHOR);
+            placed.map(|_| ()).map_err(|error| error.code())
+        }),
+        clock: Arc::new(boot_time),
+    }
+}
+
+fn start_demand_sender(
+    control: &ControlHandle,
+    network: &PeerNetwork,
+    dispatch: &Arc<DispatchHandle>,
+    board: &Arc<DemandBoard>,
+    stop: Arc<AtomicBool>,
+) -> io::Result<JoinHandle<()>> {
+    let (control, frames) = (control.clone(), network.sender());
+    let (dispatch, board) = (Arc::clone(dispatch), Arc::clone(board));
+    std::thread::Builder::new().name("demand-sender".to_owned()).spawn(move || {
+        let mut sent_at = BootTime::ZERO;
+        while !stop.load(Ordering::Relaxed) {
+            if boot_time().saturating_sub(sent_at) >= DEMAND_PERIOD {
+                sent_at = boot_time();
+                send_demands(&control, &frames, &board, dispatch.shard_demands());
+            }
+            std::thread::sleep(STOP_POLL);
+        }
+    })
+}
+
+fn weight_releaser(control: &ControlHandle, client: &PlatformClient) -> WeightReleaser {
+    let (control, store) = (control.clone(), StoreAccess::of_client(client));
+    Arc::new(move |_, service, version| release_weights(&control, &store, service, version))
+}
+
 fn start_steps(
     control: &ControlHandle,
     client: &PlatformClient,
--- a/src/serve/operator_parts.rs
+++ b/src/serve/operator_parts.rs
@@ -4,7 +4,9 @@
 
 use crate::control::ControlHandle;
 use crate::control::configuration_writer::{ChangeError, ConfigurationWriter};
+use crate::dispatch::dispatch_threads::DispatchHandle;
 use crate::generated::caller_messages::{ApplyAnswer, GrantAnswer, TargetView, WithdrawAnswer};
+use crate::generated::peer_messages::{ShardDemand, TargetDemand};
 use crate::generated::process_settings::ProcessSettings;
 use crate::metrics::HostGauges;
 use crate::operator::{OperatorFault, OperatorParts};
@@ -38,10 +40,12 @@
     registry: Registry,
     recorder: Arc<BurnRecorder>,
     refusals: Arc<RefusalLog>,
+    dispatch: &Arc<DispatchHandle>,
 ) -> OperatorParts {
     let writer = Arc::new(ConfigurationWriter::new(control.clone(), client.clone()));
     let (grants, withdrawals, placements) = (Arc::clone(&writer), Arc::clone(&writer), Arc::clone(&writer));
     let target_control = control.clone();
+    let homes = Arc::clone(dispatch);
     let store = StoreAccess::of_client(client);
     OperatorParts {
         token: settings.operator_token.clone(),
@@ -72,11 +76,11 @@
         }),
         burn: Box::new(move || recorder.answer(boot_time())),
         refusals: Box::new(move || refusals.list(boot_time())),
-        targets: Box::new(move || target_views(&target_control)),
+        targets: Box::new(move || target_views(&target_control, &homes.shard_demands())),
     }
 }
 
-fn target_views(control: &ControlHandle) -> Vec<TargetView> {
+fn target_views(control: &ControlHandle, demands: &[ShardDemand]) -> Vec<TargetView> {
     let view = control.view();
     let configuration = &view.configuration;
     let targets = configuration.targets.iter().map(|target| TargetView {
@@ -84,8 +88,13 @@
         service: target.service.clone(),
         failure_domain: target.failure_domain.clone(),
         out: !configuration.is_in(target),
-        running: 0,
-        limit: target.slots,
+        running: find_demand(demands, &target.id).map(|known| known.running),
+        limit: find_demand(demands, &target.id).map(|known| known.limit),
     });
     targets.collect()
 }
+
+// Only the home of a target knows what runs on it.
+fn find_demand<'a>(demands: &'a [ShardDemand], target_id: &str) -> Option<&'a TargetDemand> {
+    demands.iter().flat_map(|demand| &demand.targets).find(|known| known.target == target_id)
+}
--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::{Permit, PermitAsk, PermitReport, PermitSource};
 use crate::generated::engine_messages::{EnginePiece, EngineRequest};
 use crate::generated::peer_messages::PermitOutcome;
+use crate::policy::prompt_prefix::prompt_prefixes;
 use crate::prelude::*;
 use crate::traffic::crash_guard::{CrashGuard, fingerprint_of};
 use crate::traffic::engine_client::{EngineFault, cancel_request, export_cache, import_cache, open_stream};
@@ -212,7 +213,7 @@
                 organisation: self.run.organisation.clone(),
                 service: self.run.service.clone(),
                 expected_tokens: self.run.max_tokens - self.assembly.tokens(),
-                prefix_hashes: Vec::new(),
+                prefix_hashes: prompt_prefixes(&self.run.prompt),
                 firm_only: self.run.firm_only,
                 deadline: self.run.is_step.then_some(self.run.deadline),
                 excluded_targets: self.excluded.clone(),
--- a/src/usage/window_plan.rs
+++ b/src/usage/window_plan.rs
@@ -8,8 +8,8 @@
 use crate::usage::UsageTiming;
 use crate::usage::usage_rows::{WindowStart, window_resource};
 
-/// Time between two ranks; a dead owner's lease has ended by then.
-const RANK_DELAY: Duration = Duration::from_secs(20);
+/// Time between two ranks. It only keeps hosts from competing; the lease decides who reports.
+const RANK_DELAY: Duration = Duration::from_secs(5);
 
 /// Windows that a host wants at one time; after a long outage the oldest come first.
 const WINDOWS_WANTED: usize = 4;
