Check that keyed work stops at an old configuration version

Change: a host that was connected for 8 s to one with a later version must have that version or refuse keyed work.

--- a/tests/integration/support/invariant_checks.rs
+++ b/tests/integration/support/invariant_checks.rs
@@ -6,12 +6,12 @@
 use camphorspring::constants::VIEW_AGE_LIMIT;
 use camphorspring::control::ControlView;
 use camphorspring::control::configuration_snapshot::snapshot_items;
-use camphorspring::control::store_call::WITHDRAWN_TABLE;
+use camphorspring::control::store_call::{CONFIGURATION_TABLE, WITHDRAWN_TABLE};
 
 use super::sim_cluster::{SimCluster, StoreMode, is_passing};
 
-/// Time from a withdrawal's acceptance by a host that others hear to its refusal everywhere.
-const WITHDRAWAL_BOUND: Duration = Duration::from_secs(8);
+/// Time after which a withdrawal or configuration that a host hears of must be in force there.
+const NEWS_BOUND: Duration = Duration::from_secs(8);
 
 /// Period of the checks that look at all pairs.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
@@ -35,6 +35,28 @@
     has_admitted: bool,
 }
 
+/// When each host, and the store, came to know something.
+#[derive(Debug, Clone)]
+struct NewsTimes {
+    hosts: Vec<Option<Duration>>,
+    store: Option<Duration>,
+}
+
+impl NewsTimes {
+    fn new(hosts: usize) -> Self {
+        Self { hosts: vec![None; hosts], store: None }
+    }
+
+    fn note(&mut self, now: Duration, is_stored: bool, knows: impl Fn(usize) -> bool) {
+        for (index, known_at) in self.hosts.iter_mut().enumerate() {
+            *known_at = if knows(index) { known_at.or(Some(now)) } else { None };
+        }
+        if is_stored {
+            self.store.get_or_insert(now);
+        }
+    }
+}
+
 /// Hosts that reach each other, and neither the store nor any other host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HostIsland {
@@ -46,8 +68,8 @@
 #[derive(Debug)]
 pub struct InvariantChecks {
     keys: Vec<String>,
-    known_at: Vec<Vec<Option<Duration>>>,
-    store_known_at: Vec<Option<Duration>>,
+    key_news: Vec<NewsTimes>,
+    version_news: Vec<NewsTimes>,
     hosts: Vec<HostRecord>,
     contents: BTreeMap<u64, String>,
     epochs: BTreeMap<u64, usize>,
@@ -63,8 +85,8 @@
     pub fn new(keys: &[&str], hosts: usize) -> Self {
         Self {
             keys: keys.iter().map(|key| (*key).to_owned()).collect(),
-            known_at: vec![vec![None; hosts]; keys.len()],
-            store_known_at: vec![None; keys.len()],
+            key_news: vec![NewsTimes::new(hosts); keys.len()],
+            version_news: Vec::new(),
             hosts: (0..hosts).map(|_| HostRecord::default()).collect(),
             contents: BTreeMap::new(),
             epochs: BTreeMap::new(),
@@ -120,15 +142,22 @@
     }
 
     fn note_known(&mut self, cluster: &SimCluster) {
-        for (position, key) in self.keys.iter().enumerate() {
-            for (index, host) in cluster.hosts.iter().enumerate() {
-                let is_known = host.is_alive && host.view.is_withdrawn(key);
-                let known_at = &mut self.known_at[position][index];
-                *known_at = if is_known { known_at.or(Some(cluster.now)) } else { None };
-            }
-            if cluster.store.read(WITHDRAWN_TABLE, key).is_some() {
-                self.store_known_at[position].get_or_insert(cluster.now);
-            }
+        for (key, news) in self.keys.iter().zip(&mut self.key_news) {
+            let is_stored = cluster.store.read(WITHDRAWN_TABLE, key).is_some();
+            let knows = |index: usize| {
+                let host = &cluster.hosts[index];
+                host.is_alive && host.view.is_withdrawn(key)
+            };
+            news.note(cluster.now, is_stored, knows);
+        }
+        let stored = cluster.store.count(CONFIGURATION_TABLE);
+        self.version_news.resize(stored, NewsTimes::new(cluster.hosts.len()));
+        for (version, news) in (1..).zip(&mut self.version_news) {
+            let knows = |index: usize| {
+                let host = &cluster.hosts[index];
+                host.is_alive && host.view.configuration.version >= version
+            };
+            news.note(cluster.now, true, knows);
         }
     }
 
@@ -161,11 +190,16 @@
         let admitted: Vec<usize> =
             (0..self.keys.len()).filter(|position| admits(&host.view, local, &self.keys[*position])).collect();
         for position in &admitted {
-            if self.must_refuse(cluster, *position, index) {
+            if is_heard(cluster, &self.key_news[*position], index) {
                 let key = self.keys[*position].clone();
                 self.report(cluster, &format!("host {index} admits the withdrawn key {key}"));
             }
         }
+        let version = usize::try_from(host.view.configuration.version).unwrap_or(usize::MAX);
+        let later = self.version_news.get(version);
+        if !admitted.is_empty() && later.is_some_and(|news| is_heard(cluster, news, index)) {
+            self.report(cluster, &format!("host {index} admits work at the old version {version}"));
+        }
         let limit = VIEW_AGE_LIMIT + CLOCK_ERROR;
         let is_cut_off =
             self.islands.iter().any(|island| island.hosts.contains(&index) && cluster.now > island.since + limit);
@@ -184,39 +218,36 @@
             self.refusals += 1;
         }
     }
+}
 
-    /// Whether a host or the store that knows the withdrawal has been connected to this host for the whole bound,
-    /// possibly through others.
-    fn must_refuse(&self, cluster: &SimCluster, position: usize, index: usize) -> bool {
-        let Some(since) = cluster.now.checked_sub(WITHDRAWAL_BOUND) else { return false };
-        let store = cluster.hosts.len();
-        let is_store_steady =
-            matches!(cluster.store_mode, StoreMode::Up | StoreMode::Slow) && cluster.store_since <= since;
-        let is_steady = |node: usize| {
-            if node == store {
-                return is_store_steady;
-            }
-            let host = &cluster.hosts[node];
-            host.is_alive && !host.is_frozen && host.awake_since <= since
-        };
-        let known_at = |node: usize| {
-            if node == store { self.store_known_at[position] } else { self.known_at[position][node] }
-        };
-        let mut reached: Vec<usize> =
-            (0..=store).filter(|node| is_steady(*node) && known_at(*node).is_some_and(|at| at <= since)).collect();
-        let mut next = 0;
-        while next < reached.len() {
-            let from = reached[next];
-            next += 1;
-            for to in 0..=store {
-                let may_relay = to == index || is_steady(to);
-                if may_relay && !reached.contains(&to) && is_connected(cluster, from, to, since) {
-                    reached.push(to);
-                }
+/// Whether a host or the store that knows some news has been connected to a host for the whole bound, possibly through
+/// others. Then that host must have acted on the news, or refuse keyed work.
+fn is_heard(cluster: &SimCluster, news: &NewsTimes, index: usize) -> bool {
+    let Some(since) = cluster.now.checked_sub(NEWS_BOUND) else { return false };
+    let store = cluster.hosts.len();
+    let is_store_steady = matches!(cluster.store_mode, StoreMode::Up | StoreMode::Slow) && cluster.store_since <= since;
+    let is_steady = |node: usize| {
+        if node == store {
+            return is_store_steady;
+        }
+        let host = &cluster.hosts[node];
+        host.is_alive && !host.is_frozen && host.awake_since <= since
+    };
+    let known_at = |node: usize| if node == store { news.store } else { news.hosts[node] };
+    let mut reached: Vec<usize> =
+        (0..=store).filter(|node| is_steady(*node) && known_at(*node).is_some_and(|at| at <= since)).collect();
+    let mut next = 0;
+    while next < reached.len() {
+        let from = reached[next];
+        next += 1;
+        for to in 0..=store {
+            let may_relay = to == index || is_steady(to);
+            if may_relay && !reached.contains(&to) && is_connected(cluster, from, to, since) {
+                reached.push(to);
             }
         }
-        reached.contains(&index)
     }
+    reached.contains(&index)
 }
 
 fn is_connected(cluster: &SimCluster, from: usize, to: usize, since: Duration) -> bool {
