Renew sessions on a thread of their own, and test results by table

Cause: a host that wants many resources would queue its renewal behind their reads, each of which may take the whole time limit of a slow store. Tables and property tests for key checks, members, configuration and withdrawn sets.

--- a/src/control/control_thread.rs
+++ b/src/control/control_thread.rs
@@ -1,7 +1,7 @@
 //! The control thread, which owns the control state, and the helper threads that call the store for it.
 //!
-//! One helper thread polls; another renews sessions, claims resources and writes withdrawals. A call may take
-//! [`PLATFORM_LIMIT`], and neither heartbeats nor leases wait behind a slow poll.
+//! One helper thread polls, one renews the session, one reads and claims resources and writes withdrawals. A call may
+//! take [`PLATFORM_LIMIT`], and neither heartbeats nor renewals wait behind a slow one.
 
 use std::io;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender, channel, sync_channel};
@@ -12,7 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::control::control_state::{ControlAction, ControlState};
-use crate::control::store_call::{StoreCommand, StoreReport, execute_call};
+use crate::control::store_call::{StoreCommand, StoreLane, StoreReport, execute_call};
 use crate::control::{ControlEvent, ControlHandle, ControlView, PeerOrigin};
 use crate::peer::peer_counters::{FrameKind, kind_of};
 use crate::peer::{FrameHandler, FrameSender, PeerNetwork};
@@ -78,17 +78,19 @@
     network: PeerNetwork,
 ) -> io::Result<()> {
     let polls = start_store_thread("control-poll", client.clone(), inbox.sender.clone())?;
-    let urgent = start_store_thread("control-lease", client.clone(), inbox.sender.clone())?;
+    let sessions = start_store_thread("control-session", client.clone(), inbox.sender.clone())?;
+    let resources = start_store_thread("control-lease", client.clone(), inbox.sender.clone())?;
     let generator = ChaCha8Rng::seed_from_u64(settings.seed);
     let state = ControlState::new(settings.origin, generator, boot_time());
-    let port = ActionPort { polls, urgent, sender: network.sender(), network };
+    let port = ActionPort { polls, sessions, resources, sender: network.sender(), network };
     Builder::new().name("control".to_owned()).spawn(move || run_control(&inbox, state, &port))?;
     Ok(())
 }
 
 struct ActionPort {
     polls: Sender<StoreCommand>,
-    urgent: Sender<StoreCommand>,
+    sessions: Sender<StoreCommand>,
+    resources: Sender<StoreCommand>,
     sender: FrameSender,
     network: PeerNetwork,
 }
@@ -102,7 +104,11 @@
                     (self.sender)(&host, frame);
                 }
                 ControlAction::Store(command) => {
-                    let lane = if command.purpose.is_urgent() { &self.urgent } else { &self.polls };
+                    let lane = match command.purpose.lane() {
+                        StoreLane::Poll => &self.polls,
+                        StoreLane::Session => &self.sessions,
+                        StoreLane::Resource => &self.resources,
+                    };
                     let _ = lane.send(command);
                 }
                 ControlAction::SetAddresses(addresses) => self.network.set_addresses(&addresses),
--- a/src/control/store_call.rs
+++ b/src/control/store_call.rs
@@ -112,13 +112,28 @@
 }
 
 impl StorePurpose {
-    /// Whether the call belongs to the thread for leases and withdrawals, which must not wait behind polls.
+    /// Helper thread that makes the call.
     #[must_use]
-    pub fn is_urgent(&self) -> bool {
-        !matches!(self, Self::HostList | Self::Poll | Self::Snapshot)
+    pub fn lane(&self) -> StoreLane {
+        match self {
+            Self::HostList | Self::Poll | Self::Snapshot => StoreLane::Poll,
+            Self::Session => StoreLane::Session,
+            _ => StoreLane::Resource,
+        }
     }
 }
 
+/// Helper threads. Each call may take [`PLATFORM_LIMIT`], so what must not wait has a thread of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreLane {
+    /// Polls and snapshots.
+    Poll,
+    /// Renewals of the session, on which all leases depend.
+    Session,
+    /// Resources and withdrawals.
+    Resource,
+}
+
 /// Call with its purpose.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StoreCommand {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,6 +4,7 @@
 mod command_line;
 mod control_faults;
 mod control_links;
+mod control_results;
 mod dispatch;
 mod gateway;
 mod http_bounds;
