Name prompt prefixes to dispatch, and prove runs on engines

Cause: permits were asked for without prefix hashes, so prompts were placed without regard to caches; retries had no metric; a caller that left counted against the objective of the service; a key in a prompt behind a JSON escape was not found. Change: prefix hashes as engines name them; the retry counter; status 499 for callers that left; the decoded prompt is searched for the caller's key. Tests of assembly under random pieces, crash in mid-stream, cache move, slow reader.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -76,8 +76,9 @@
 
 /// Builds the handler of the caller port.
 #[must_use]
-pub fn caller_handler(parts: GatewayParts) -> RequestHandler {
+pub fn caller_handler(mut parts: GatewayParts) -> RequestHandler {
     let metrics = Arc::new(RequestMetrics::new(&parts.registry));
+    count_retries(&mut parts, &metrics);
     let gateway = Arc::new(Gateway {
         parts,
         metrics,
@@ -88,6 +89,18 @@
     Arc::new(move |request| handle_request(&gateway, &request))
 }
 
+/// Counts the retries of this interface that the budget allows.
+fn count_retries(parts: &mut GatewayParts, metrics: &Arc<RequestMetrics>) {
+    let (may_retry, metrics) = (Arc::clone(&parts.engine.retries.may_retry), Arc::clone(metrics));
+    parts.engine.retries.may_retry = Arc::new(move |place| {
+        let is_allowed = may_retry(place);
+        if is_allowed {
+            metrics.note_retry(place.service);
+        }
+        is_allowed
+    });
+}
+
 /// A request that is being handled.
 pub(crate) struct RequestContext<'a> {
     pub(crate) gateway: &'a Arc<Gateway>,
--- a/src/gateway/completions.rs
+++ b/src/gateway/completions.rs
@@ -2,8 +2,8 @@
 
 use serde_json::Value;
 
-use crate::gateway::caller_key::Caller;
-use crate::gateway::event_stream::{StreamedCompletion, start_stream};
+use crate::gateway::caller_key::{Caller, bearer_key};
+use crate::gateway::event_stream::{READER_LEFT, StreamedCompletion, start_stream};
 use crate::gateway::request_trace::RequestTrace;
 use crate::gateway::{Answered, Gateway, RequestContext, check_dependencies};
 use crate::generated::caller_messages::{CompletionAnswer, CompletionChoice, CompletionRequest};
@@ -42,6 +42,10 @@
 ) -> Result<Answered, ResultCode> {
     let caller = context.authenticate(trace)?;
     let request = parse_request(&context.request.body)?;
+    // The body was searched for the key as written; an escape sequence in it would hide the key until here.
+    if bearer_key(context.request).is_some_and(|key| request.prompt.contains(key)) {
+        return Err(ResultCode::BadRequest);
+    }
     let service = context.configuration().service_of_model(&request.model).ok_or(ResultCode::NotFound)?;
     if service.kind != ServiceKind::Engine {
         return Err(ResultCode::NotFound);
@@ -64,13 +68,13 @@
         is_step: false,
         least_version: None,
     };
-    let reader = join_run(context.gateway, run)?;
+    let reader = join_run(context.gateway, run, &trace.request_id)?;
     let watch = ReaderWatch { gateway: Arc::clone(context.gateway), caller, deadline };
     if request.stream {
         let stream = StreamedCompletion { reader, watch, model: request.model };
         return start_stream(context, trace, stream);
     }
-    let result = collect_result(context, reader, &watch)?;
+    let result = collect_result(context, trace, reader, &watch)?;
     let answer = completion_answer(&trace.request_id, &request.model, &result);
     Ok(Answered::Whole(HttpReply::json(200, &answer)))
 }
@@ -86,7 +90,7 @@
     Ok(request)
 }
 
-fn join_run(gateway: &Arc<Gateway>, run: EngineRun) -> Result<CompletionReader, ResultCode> {
+fn join_run(gateway: &Arc<Gateway>, run: EngineRun, request_id: &str) -> Result<CompletionReader, ResultCode> {
     let key = run_key(&[
         run.organisation.as_bytes(),
         run.service.as_bytes(),
@@ -97,6 +101,7 @@
     ]);
     let JoinedRun { reader, writer } = gateway.completions.join(key, run.deadline);
     if let Some(writer) = writer {
+        log::info!(request_id = request_id, run_id = run.request_id.as_str(); "run_started");
         let gateway = Arc::clone(gateway);
         let thread = std::thread::Builder::new().name("completion".to_owned()).stack_size(RUN_STACK);
         thread.spawn(move || carry_run(&gateway, &run, writer)).map_err(|_| ResultCode::HostBusy)?;
@@ -146,12 +151,14 @@
 
 fn collect_result(
     context: &RequestContext<'_>,
+    trace: &mut RequestTrace,
     mut reader: CompletionReader,
     watch: &ReaderWatch,
 ) -> Result<EngineResult, ResultCode> {
     loop {
         watch.check()?;
         if context.request.is_abandoned() {
+            trace.finish(ResultCode::Done, READER_LEFT);
             return Err(ResultCode::TargetTimeout);
         }
         if let ReadStep::Finished(result) = reader.next_step(READER_CHECK) {
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -33,6 +33,7 @@
     let first = loop {
         stream.watch.check()?;
         if context.request.is_abandoned() {
+            trace.finish(ResultCode::Done, READER_LEFT);
             return Err(ResultCode::TargetTimeout);
         }
         match stream.reader.next_step(READER_CHECK) {
@@ -116,7 +117,7 @@
 }
 
 /// Status in logs and metrics of a request whose caller left; no caller receives it.
-const READER_LEFT: u16 = 499;
+pub(crate) const READER_LEFT: u16 = 499;
 
 struct EventWriter {
     sender: BodySender,
--- a/src/gateway/plain_routes.rs
+++ b/src/gateway/plain_routes.rs
@@ -3,6 +3,7 @@
 use crate::gateway::caller_key::{Caller, bearer_key, check_leaks};
 use crate::gateway::claimed_routes::answer_claimed;
 use crate::gateway::completions::{READER_CHECK, RUN_STACK, shared_stop};
+use crate::gateway::event_stream::READER_LEFT;
 use crate::gateway::request_trace::RequestTrace;
 use crate::gateway::{Answered, Gateway, RequestContext, check_dependencies};
 use crate::generated::services_text::RouteEntry;
@@ -39,7 +40,7 @@
     }
     let key = page_key(route, &run);
     let reader = join_run(context.gateway, key, run, deadline)?;
-    let answer = wait_for_page(context, reader, caller.as_ref(), deadline)?;
+    let answer = wait_for_page(context, trace, reader, caller.as_ref(), deadline)?;
     Ok(Answered::Whole(plain_reply(answer)))
 }
 
@@ -109,6 +110,7 @@
 
 fn wait_for_page(
     context: &RequestContext<'_>,
+    trace: &mut RequestTrace,
     mut reader: RunReader<(), PlainAnswer>,
     caller: Option<&Caller>,
     deadline: BootTime,
@@ -121,7 +123,11 @@
         if caller.is_some_and(|caller| view.is_withdrawn(&caller.key_id)) {
             return Err(ResultCode::StreamWithdrawn);
         }
-        if context.request.is_abandoned() || context.gateway.now() >= deadline + RESULT_GRACE {
+        if context.request.is_abandoned() {
+            trace.finish(ResultCode::Done, READER_LEFT);
+            return Err(ResultCode::TargetTimeout);
+        }
+        if context.gateway.now() >= deadline + RESULT_GRACE {
             return Err(ResultCode::TargetTimeout);
         }
     }
--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -8,6 +8,7 @@
 use crate::traffic::crash_guard::{CrashGuard, fingerprint_of};
 use crate::traffic::engine_client::{EngineFault, cancel_request, export_cache, import_cache, open_stream};
 use crate::traffic::idle_transport::StopCheck;
+use crate::traffic::prompt_prefix::prefix_hashes;
 use crate::traffic::quarantine::Fingerprint;
 use crate::traffic::retry_policy::{ATTEMPT_LIMIT, AttemptPlace, RetryPolicy};
 use crate::traffic::text_assembly::{PieceVerdict, TextAssembly};
@@ -112,6 +113,7 @@
     stop: &'a RunStop,
     assembly: TextAssembly,
     fingerprint: Fingerprint,
+    prefixes: Vec<u64>,
     attempts: u32,
     excluded: Vec<TargetId>,
     last_failed: Option<FailedTarget>,
@@ -126,6 +128,7 @@
             stop,
             assembly: TextAssembly::new(&run.request_id, run.max_tokens, run.least_version),
             fingerprint: run_fingerprint(run),
+            prefixes: prefix_hashes(&run.prompt),
             attempts: 0,
             excluded: Vec::new(),
             last_failed: None,
@@ -212,7 +215,7 @@
                 organisation: self.run.organisation.clone(),
                 service: self.run.service.clone(),
                 expected_tokens: self.run.max_tokens - self.assembly.tokens(),
-                prefix_hashes: Vec::new(),
+                prefix_hashes: self.prefixes.clone(),
                 firm_only: self.run.firm_only,
                 deadline: self.run.is_step.then_some(self.run.deadline),
                 excluded_targets: self.excluded.clone(),
--- /dev/null
+++ b/tests/integration/engine_runs.rs
@@ -0,0 +1,222 @@
+//! Runs on engines: assembly of pieces under random faults, and resumption on stand-ins of engines.
+
+use std::io::Read;
+use std::time::Duration;
+
+use camphorspring::generated::caller_messages::VersionSpan;
+use camphorspring::generated::engine_messages::{EnginePiece, EngineRequest};
+use camphorspring::traffic::prompt_prefix::prefix_hashes;
+use camphorspring::traffic::text_assembly::{PieceVerdict, TextAssembly};
+use camphorspring_standins::engine::{
+    EngineOptions, EngineStandin, completion_text, prefix_hashes as engine_prefix_hashes,
+};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::traffic_bench::{
+    GatewayBench, NORTH_KEY, PlacedTarget, ScriptedTarget, TargetFault, send_request, token_text, wait_until,
+    whole_text,
+};
+
+const NO_PLATFORM: &str = "http://127.0.0.1:1";
+
+/// A piece of `tokens` tokens from `index`, or one with a random fault; whether it may be used.
+fn random_piece(random: &mut ChaCha8Rng, next: u32, length: u32, version: u64) -> (EnginePiece, bool) {
+    let back = if random.random_bool(0.2) { random.random_range(0..=next.min(6)) } else { 0 };
+    let index = next - back;
+    let tokens = random.random_range(1..5).min(length - index);
+    let text: String = (index..index + tokens).map(token_text).collect();
+    let is_last = index + tokens == length;
+    let mut piece = EnginePiece {
+        request_id: "r".to_owned(),
+        index,
+        text,
+        tokens,
+        weight_version: Some(version),
+        finish_reason: is_last.then(|| "length".to_owned()),
+    };
+    let is_usable = match random.random_range(0..20) {
+        0 => {
+            piece.request_id = "other".to_owned();
+            false
+        }
+        1 => {
+            piece.weight_version = None;
+            false
+        }
+        2 => {
+            piece.index += back + 1;
+            false
+        }
+        3 if back > 0 => {
+            piece.text = format!("x{}", piece.text);
+            // A piece that was seen whole is dropped without a look at its text.
+            index + tokens <= next && !is_last
+        }
+        _ => true,
+    };
+    (piece, is_usable)
+}
+
+/// One completion under random faults: returns whether the text and its labels are right.
+fn run_random_completion(random: &mut ChaCha8Rng) -> bool {
+    let length = random.random_range(1..40);
+    let mut assembly = TextAssembly::new("r", length, Some(2));
+    let mut delivered = String::new();
+    let mut labels: Vec<u64> = Vec::new();
+    let mut version = 2;
+    while assembly.finish_reason().is_none() {
+        if random.random_bool(0.1) {
+            version += 1;
+        }
+        let stamped = if random.random_bool(0.05) { 1 } else { version };
+        let (piece, is_usable) = random_piece(random, assembly.tokens(), length, stamped);
+        match assembly.accept(piece) {
+            Ok(PieceVerdict::New(piece)) => {
+                if !is_usable || stamped < 2 {
+                    return false;
+                }
+                delivered.push_str(&piece.text);
+                labels.extend(std::iter::repeat_n(version, piece.tokens as usize));
+            }
+            Ok(PieceVerdict::Seen) => {}
+            // The runner resumes on another engine, which starts at the next token.
+            Err(_) => version += 1,
+        }
+        if assembly.tokens() == length {
+            assembly.finish_at_length();
+        }
+    }
+    delivered == whole_text(length) && assembly.text() == delivered && spans_of(&labels) == assembly.spans()
+}
+
+fn spans_of(labels: &[u64]) -> Vec<VersionSpan> {
+    let mut spans: Vec<VersionSpan> = Vec::new();
+    for (index, version) in (0..).zip(labels) {
+        match spans.last_mut() {
+            Some(span) if span.version == *version => span.last_token = index,
+            _ => spans.push(VersionSpan { version: *version, first_token: index, last_token: index }),
+        }
+    }
+    spans
+}
+
+/// Guards against lost, repeated, foreign or mislabelled tokens, whatever engines send.
+#[googletest::test]
+fn random_pieces_give_the_whole_text() {
+    let mut wrong = 0;
+    for seed in 1..=4 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let wrong_here = (0..5000).filter(|_| !run_random_completion(&mut random)).count();
+        println!("seed={seed} requests=5000 wrong={wrong_here}");
+        wrong += wrong_here;
+    }
+    expect_that!(wrong, eq(0));
+}
+
+/// Guards against prefix hashes that engines do not know, which would send every prompt to a cold cache.
+#[googletest::test]
+fn prefix_hashes_are_those_of_engines() {
+    for length in [0, 63, 64, 65, 1000] {
+        let prompt: String = ('a'..='z').cycle().take(length).collect();
+        expect_that!(prefix_hashes(&prompt), eq(&engine_prefix_hashes(&prompt)));
+    }
+}
+
+fn engine(version: u64) -> EngineStandin {
+    let options = EngineOptions {
+        token_time: Duration::from_millis(5),
+        weight_version: version,
+        ends_early: false,
+        ..EngineOptions::default()
+    };
+    EngineStandin::start(options).unwrap()
+}
+
+/// Guards against a key that reaches an engine, and a text that changes when its engine dies in mid-stream.
+#[googletest::test]
+fn crash_in_mid_stream_resumes_elsewhere() {
+    let (first, second) = (engine(4), engine(5));
+    let addresses = [&first, &second].map(|engine| engine.server().address().to_string());
+    let targets = [
+        PlacedTarget { service: "scoring", id: "e1", address: &addresses[0] },
+        PlacedTarget { service: "scoring", id: "e2", address: &addresses[1] },
+    ];
+    let bench = GatewayBench::start(&targets, NO_PLATFORM);
+    let address = bench.address.clone();
+    let body = r#"{"model":"pile","prompt":"seven bags","max_tokens":100,"seed":3}"#;
+    let caller = std::thread::spawn(move || {
+        let authorization = format!("Bearer {NORTH_KEY}");
+        send_request(&address, "POST", "/v1/completions", &[("authorization", &authorization)], body.as_bytes())
+    });
+    wait_until("the first engine produces", || first.records().tokens > 10);
+    first.crash();
+    let (status, answer) = caller.join().unwrap();
+    expect_that!(status, eq(200));
+    let answer: serde_json::Value = serde_json::from_str(&answer).unwrap();
+    let expected = completion_text("seven bags", 3, 0, 100);
+    expect_that!(answer["choices"][0]["text"].as_str(), some(eq(expected.as_str())));
+    let versions: Vec<u64> =
+        answer["weight_versions"].as_array().unwrap().iter().filter_map(|span| span["version"].as_u64()).collect();
+    expect_that!(versions, eq(&vec![4, 5]));
+    for engine in [&first, &second] {
+        expect_that!(engine.records().has_header_text("cs_"), eq(false));
+    }
+}
+
+/// Guards against a run that computes again what a target that failed, but still runs, has in its cache, and against
+/// one that waits for the cache of a target that is gone.
+#[googletest::test]
+fn cache_is_moved_while_the_old_engine_exports_it() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let (first, second) = (ScriptedTarget::engine(&runtime, 1), ScriptedTarget::engine(&runtime, 1));
+    let targets = [
+        PlacedTarget { service: "scoring", id: "e1", address: &first.address },
+        PlacedTarget { service: "scoring", id: "e2", address: &second.address },
+    ];
+    let bench = GatewayBench::start(&targets, NO_PLATFORM);
+    let mut table = Vec::new();
+    for (seed, fault) in
+        [TargetFault::Unstamped(2), TargetFault::Gap(2), TargetFault::DieAfter(2)].into_iter().enumerate()
+    {
+        first.script([fault.clone()]);
+        let (status, _) = bench.complete(&format!(r#"{{"model":"pile","prompt":"p","max_tokens":6,"seed":{seed}}}"#));
+        let requests = second.requests.lock().unwrap();
+        let resumed = requests.iter().rfind(|request| request.path == "/v1/completions").unwrap();
+        let resumed: EngineRequest = serde_json::from_slice(&resumed.body).unwrap();
+        let has_cache = resumed.kv_handle.as_ref() == Some(&resumed.request_id);
+        table.push((status, resumed.resume_tokens, resumed.resume_text, has_cache));
+    }
+    let row = |has_cache| (200, 2, whole_text(2), has_cache);
+    expect_that!(table, eq(&vec![row(true), row(true), row(false)]));
+}
+
+/// Guards against a caller that does not read and holds its stream, or the run, for ever.
+#[googletest::test]
+fn slow_reader_is_dropped_alone() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let target = ScriptedTarget::engine(&runtime, 1);
+    target.script([TargetFault::Slow(Duration::from_micros(100))]);
+    let bench =
+        GatewayBench::start(&[PlacedTarget { service: "scoring", id: "e1", address: &target.address }], NO_PLATFORM);
+    // More than the buffers of both sockets hold.
+    let body = r#"{"model":"pile","prompt":"p","max_tokens":60000,"stream":true}"#;
+    let mut unread = std::net::TcpStream::connect(&bench.address).unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {NORTH_KEY}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    std::io::Write::write_all(&mut unread, head.as_bytes()).unwrap();
+    let mut first = [0; 8];
+    unread.read_exact(&mut first).unwrap();
+    let (status, whole) = bench.complete(body);
+    expect_that!(status, eq(200));
+    expect_that!(whole, ends_with("data: [DONE]\n\n"));
+    expect_that!(target.runs(), eq(1));
+    wait_until("the unread stream is dropped", || {
+        bench.registry.gather().iter().any(|family| {
+            family.name() == "camphorspring_streams_open" && family.get_metric()[0].get_gauge().get_value() == 0.0
+        })
+    });
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod control_faults;
 mod control_links;
 mod dispatch;
+mod engine_runs;
 mod gateway;
 mod http_bounds;
 mod memory_store;
--- a/tests/integration/traffic_bench.rs
+++ b/tests/integration/traffic_bench.rs
@@ -135,6 +135,12 @@
 }
 
 fn engine_reply(request: &HttpRequest, fault: TargetFault, version: u64) -> HttpReply {
+    if let Some(id) = request.path.strip_prefix("/v1/kv/export/") {
+        return HttpReply::json(200, &serde_json::json!({ "kv_handle": id, "tokens": 1 }));
+    }
+    if request.path == "/v1/kv/import" {
+        return HttpReply::whole(200, "application/json", request.body.clone());
+    }
     if request.path != "/v1/completions" {
         return HttpReply::json(404, &"none");
     }
