--- a/tests/integration/engine_runs.rs
+++ b/tests/integration/engine_runs.rs
@@ -38,7 +38,7 @@
     };
     let is_usable = match random.random_range(0..20) {
         0 => {
-            piece.request_id = "other".to_owned();
+            "other".clone_into(&mut piece.request_id);
             false
         }
         1 => {
--- a/tests/integration/gateway.rs
+++ b/tests/integration/gateway.rs
@@ -197,3 +197,42 @@
     wait_until("the permit is back", || bench.reports.lock().unwrap().len() == 1);
     expect_that!(engine.runs(), eq(1));
 }
+
+/// Guards against a page that is lost to one bad target, a retry beyond the budget, and a retry of an answer that is
+/// the service's own.
+#[googletest::test]
+fn pages_survive_target_faults_within_the_budget() {
+    let runtime = runtime();
+    let (first, second) = (ScriptedTarget::plain(&runtime, "desk"), ScriptedTarget::plain(&runtime, "desk"));
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let placed = |id, address| PlacedTarget { service: "desk", id, address };
+    let bench = GatewayBench::start(&[placed("d1", &first.address), placed("d2", &second.address)], NO_PLATFORM);
+    let half = GatewayBench::start(&[placed("d1", &closed), placed("d2", &second.address)], NO_PLATFORM);
+    let none = GatewayBench::start(&[placed("d1", &closed)], NO_PLATFORM);
+    let spent = GatewayBench::start_with(
+        &[placed("d1", &first.address), placed("d2", &second.address)],
+        NO_PLATFORM,
+        &|policy| policy.may_retry = std::sync::Arc::new(|_| false),
+    );
+    let rows = [
+        ("well", &bench, TargetFault::None),
+        ("dies", &bench, TargetFault::DieAfter(0)),
+        ("overloaded", &bench, TargetFault::Status(503)),
+        ("own error", &bench, TargetFault::Status(500)),
+        ("refuses connections", &half, TargetFault::None),
+        ("all refuse connections", &none, TargetFault::None),
+        ("dies, budget spent", &spent, TargetFault::DieAfter(0)),
+        ("overloaded, budget spent", &spent, TargetFault::Status(503)),
+    ];
+    let mut table = Vec::new();
+    for (position, (name, bench, fault)) in rows.into_iter().enumerate() {
+        let before = first.runs() + second.runs();
+        first.faults.lock().unwrap().clear();
+        first.script([fault]);
+        let (status, body) = bench.send("GET", &format!("/track/{position}"), &[], b"");
+        let code = serde_json::from_str::<serde_json::Value>(&body).map(|error| error["code"].to_string());
+        let runs = first.runs() + second.runs() - before;
+        table.push(format!("{name}: {status} {} runs={runs}", code.unwrap_or(body)));
+    }
+    insta::assert_snapshot!(table.join("\n"));
+}
--- a/tests/integration/traffic_bench.rs
+++ b/tests/integration/traffic_bench.rs
@@ -284,6 +284,13 @@
 impl GatewayBench {
     /// Gateway over these targets, with a platform at `platform_url`.
     pub fn start(targets: &[PlacedTarget<'_>], platform_url: &str) -> Self {
+        Self::start_with(targets, platform_url, &|_| {})
+    }
+
+    /// The same with a changed retry policy.
+    pub fn start_with(targets: &[PlacedTarget<'_>], platform_url: &str, change: &dyn Fn(&mut RetryPolicy)) -> Self {
+        let mut retries = RetryPolicy::unlimited(Arc::new(|| 0.5));
+        change(&mut retries);
         let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
         let mut view = ControlView::empty("host-1", "east", 7);
         view.configuration = Arc::new(configuration(targets));
@@ -301,7 +308,7 @@
             permits: first_target_source(Arc::clone(&view), Arc::clone(&reports), Arc::clone(&permit_refusal)),
             view: Arc::new(move || view_source.load_full()),
             usage: Arc::new(move |event| usage_sink.lock().unwrap().push(event)),
-            retries: RetryPolicy::unlimited(Arc::new(|| 0.5)),
+            retries,
             clock: Arc::new(boot_time),
             crashes,
         };
