Split claim rows off, and prove silent engines, methods and bodies

Change: rows in a file of their own; tests of a silent engine, of a key withdrawn while the engine is silent, and of all methods with and without a body. Conclusion: no fault found.

--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -1,5 +1,6 @@
 //! Carrying requests to targets: streams, retries, coalescing, claims and quarantine.
 
+pub mod claim_row;
 pub mod claim_state;
 pub mod claim_store;
 pub mod coalescing;
--- a/tests/integration/engine_runs.rs
+++ b/tests/integration/engine_runs.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 use std::time::Duration;
 
+use camphorspring::constants::ENGINE_IDLE_LIMIT;
 use camphorspring::generated::caller_messages::VersionSpan;
 use camphorspring::generated::engine_messages::{EnginePiece, EngineRequest};
 use camphorspring::traffic::prompt_prefix::prefix_hashes;
@@ -220,3 +221,35 @@
         })
     });
 }
+
+/// Guards against a run that waits for ever for a silent engine, and against one that holds a silent engine after its
+/// caller has no right to it any more.
+#[googletest::test]
+fn silent_engines_are_left() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let (silent, well) = (ScriptedTarget::engine(&runtime, 1), ScriptedTarget::engine(&runtime, 2));
+    let silence = TargetFault::Slow(ENGINE_IDLE_LIMIT * 4);
+    silent.script([silence.clone(), silence]);
+    let targets = [
+        PlacedTarget { service: "scoring", id: "e1", address: &silent.address },
+        PlacedTarget { service: "scoring", id: "e2", address: &well.address },
+    ];
+    let bench = GatewayBench::start(&targets, NO_PLATFORM);
+    let (status, answer) = bench.complete(r#"{"model":"pile","prompt":"p","max_tokens":4}"#);
+    expect_that!(status, eq(200));
+    expect_that!(answer, contains_substring(whole_text(4)));
+    expect_that!(bench.reports.lock().unwrap()[0].total, ge(ENGINE_IDLE_LIMIT));
+
+    let address = bench.address.clone();
+    let caller = std::thread::spawn(move || {
+        let authorization = format!("Bearer {NORTH_KEY}");
+        let body = br#"{"model":"pile","prompt":"q","max_tokens":4}"#;
+        send_request(&address, "POST", "/v1/completions", &[("authorization", &authorization)], body)
+    });
+    wait_until("the engine has the request", || silent.runs() == 2);
+    bench.change_view(|view| view.withdrawn = std::sync::Arc::new(vec!["north1".to_owned()]));
+    let (_, answer) = caller.join().unwrap();
+    expect_that!(answer, contains_substring("\"code\":1603"));
+    wait_until("the permit is back", || bench.reports.lock().unwrap().len() == 3);
+    expect_that!(bench.reports.lock().unwrap()[2].total, lt(ENGINE_IDLE_LIMIT));
+}
--- a/tests/integration/gateway.rs
+++ b/tests/integration/gateway.rs
@@ -117,6 +117,25 @@
     expect_that!(requests[0].header("x-hop"), none());
 }
 
+/// Guards against a client library that refuses or changes a method or body on its way.
+#[googletest::test]
+fn methods_and_bodies_are_kept() {
+    let runtime = runtime();
+    let desk = ScriptedTarget::plain(&runtime, "desk");
+    let bench = GatewayBench::start(&[PlacedTarget { service: "desk", id: "d1", address: &desk.address }], NO_PLATFORM);
+    for method in ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"] {
+        for body in ["", "content"] {
+            let (status, answer) = bench.send(method, "/track/7", &[], body.as_bytes());
+            if !body.is_empty() && matches!(method, "GET" | "HEAD") {
+                expect_that!(status, eq(400), "{method} {body}");
+            } else {
+                let expected = if method == "HEAD" { String::new() } else { format!("desk {method} /track/7? {body}") };
+                expect_that!((status, answer), eq(&(200, expected)), "{method} {body}");
+            }
+        }
+    }
+}
+
 /// Guards against hostile input that panics, reaches a target, or gets an answer without a code.
 #[googletest::test]
 fn malformed_requests_get_a_code() {
