--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod control_links;
 mod control_results;
 mod dispatch;
+mod engine_runs;
 mod gateway;
 mod http_bounds;
 mod memory_store;
