Judge cold targets by uncached prompts, and move asks to shorter queues

First tokens of cached prompts are short, so that every cache miss looked like a cold target and threw its limit back. Asks also waited at a home while another domain had free slots.

--- a/src/dispatch/ask_table.rs
+++ b/src/dispatch/ask_table.rs
@@ -52,6 +52,8 @@
     pub organisation: OrganisationId,
     /// Tokens charged so far.
     pub expected_tokens: u32,
+    /// Whether its prompt is expected in the target's cache.
+    pub is_cached: bool,
     /// When the holder was last heard of.
     pub heard_at: BootTime,
 }
--- a/src/dispatch/entry_ask.rs
+++ b/src/dispatch/entry_ask.rs
@@ -35,6 +35,7 @@
 pub struct HomeAttempt {
     pub ticket: u64,
     pub place: PlannedHome,
+    pub asked_at: BootTime,
     pub sent_at: BootTime,
     pub heard_at: BootTime,
     pub is_acknowledged: bool,
--- a/src/dispatch/entry_state.rs
+++ b/src/dispatch/entry_state.rs
@@ -33,8 +33,8 @@
 /// Wait before all homes are asked again.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 
-/// A wait longer than this makes an ask look at its next home, once each.
-const LONG_WAIT: Duration = Duration::from_millis(500);
+/// A wait longer than this makes an ask look at its next home: it is a few times what asking there costs.
+const LONG_WAIT: Duration = Duration::from_millis(20);
 
 /// Effect of an entry event.
 #[derive(Debug, Clone, PartialEq)]
@@ -243,7 +243,7 @@
         pending.next_home += 1;
         let ticket = self.take_ticket();
         self.note_home(now, &place.home);
-        let attempt = HomeAttempt { ticket, place, sent_at: now, heard_at: now, is_acknowledged: false };
+        let attempt = HomeAttempt { ticket, place, asked_at: now, sent_at: now, heard_at: now, is_acknowledged: false };
         actions.push(EntryAction::Send(attempt.place.home.clone(), pending.request(&attempt, now).into()));
         pending.attempt = Some(attempt);
         self.put_pending(pending);
@@ -328,7 +328,9 @@
         actions.push(EntryAction::Settle(pending.number, Ok(granted)));
     }
 
-    /// After the first acknowledgement: waits here, or moves on when the wait is long and another home is left.
+    /// After an acknowledgement: waits here, or moves on when the wait is long and a home of another domain is left
+    /// that announced at most half of it, or nothing. In the first round an ask moves at once, and later at most once
+    /// a second. Its place in a queue depends on its organisation and deadline, so that moving costs it nothing.
     fn stay_or_move(
         &mut self,
         now: BootTime,
@@ -342,7 +344,9 @@
             let known = self.waits.recent(now, &pending.ask.service, &place.failure_domain).unwrap_or_default();
             place.failure_domain != here && known < wait / 2
         });
-        if pending.round > 0 || wait <= LONG_WAIT || !has_better {
+        let asked_at = pending.attempt.as_ref().map_or(now, |attempt| attempt.asked_at);
+        let is_settled = pending.round > 0 && now.saturating_sub(asked_at) < WAIT_REPEAT;
+        if is_settled || wait <= LONG_WAIT || !has_better {
             self.put_pending(pending);
             return;
         }
--- a/src/dispatch/entry_upkeep.rs
+++ b/src/dispatch/entry_upkeep.rs
@@ -155,8 +155,7 @@
     if is_out || is_moved || now.saturating_sub(attempt.heard_at) >= silence {
         return DueWork::LeaveHome;
     }
-    let is_local = attempt.place.home == view.host;
-    if !is_local && now.saturating_sub(attempt.sent_at) >= repeat { DueWork::Repeat } else { DueWork::Nothing }
+    if now.saturating_sub(attempt.sent_at) >= repeat { DueWork::Repeat } else { DueWork::Nothing }
 }
 
 fn has_targets(layout: &ShardLayout, service: &str, failure_domain: &str) -> bool {
--- a/src/dispatch/home_shard.rs
+++ b/src/dispatch/home_shard.rs
@@ -19,6 +19,12 @@
 /// Period over which the token rate is measured.
 const RATE_PERIOD: Duration = Duration::from_secs(2);
 
+/// Part of a prompt in the cache from which its first token counts as that of a cached prompt.
+const CACHED_PERCENT: u32 = 50;
+
+/// Expected wait in a queue that was not empty before anything was finished.
+const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
+
 /// A request that waits for a target.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WaitingAsk {
@@ -35,8 +41,8 @@
 /// What became of a waiting ask.
 #[derive(Debug)]
 pub enum ShardDecision {
-    /// It may use this target.
-    Granted(WaitingAsk, TargetId),
+    /// It may use this target; whether its prompt is expected in the target's cache.
+    Granted(WaitingAsk, TargetId, bool),
     /// It may not run.
     Refused(WaitingAsk, ResultCode),
 }
@@ -91,7 +97,13 @@
             let waits = self.targets.iter().map(|target| shares.settle_left(now, target.home_since));
             return waits.min().unwrap_or_default();
         }
-        self.queue.expected_wait(organisation, weight, self.rate.tokens_per_second())
+        if self.queue.is_empty() {
+            return Duration::ZERO;
+        }
+        match self.rate.tokens_per_second() {
+            0 => UNKNOWN_WAIT,
+            rate => self.queue.expected_wait(organisation, weight, rate),
+        }
     }
 
     /// Whether a target of this shard could serve the request, now or after waiting.
@@ -133,7 +145,7 @@
                 continue;
             }
             let request = &served.item.request;
-            let Some(position) = choose(prefixes, &loads, request) else {
+            let Some(ShardChoice { position, is_cached }) = choose(prefixes, &loads, request) else {
                 skipped.push(served);
                 continue;
             };
@@ -143,7 +155,7 @@
             loads[position].running += 1;
             free -= 1;
             granted.push(position);
-            decisions.push(ShardDecision::Granted(served.item, target));
+            decisions.push(ShardDecision::Granted(served.item, target, is_cached));
         }
         for served in skipped {
             queue.put_back(served);
@@ -163,7 +175,12 @@
     load.limit.saturating_sub(load.running)
 }
 
-fn choose(prefixes: &PrefixIndex, loads: &[TargetLoad<'_>], request: &PermitRequest) -> Option<usize> {
+struct ShardChoice {
+    position: usize,
+    is_cached: bool,
+}
+
+fn choose(prefixes: &PrefixIndex, loads: &[TargetLoad<'_>], request: &PermitRequest) -> Option<ShardChoice> {
     let matches = prefixes.find_matches(&request.prefix_hashes);
     let need = TargetNeed {
         firm_only: request.firm_only,
@@ -171,7 +188,10 @@
         least_version: request.least_version,
         matches: &matches,
     };
-    choose_target(loads, &need)
+    let position = choose_target(loads, &need)?;
+    let handle = loads[position].handle;
+    let is_cached = matches.iter().any(|matched| matched.target == handle && matched.percent >= CACHED_PERCENT);
+    Some(ShardChoice { position, is_cached })
 }
 
 /// Tokens per second, smoothed over the last periods.
--- a/src/dispatch/home_state.rs
+++ b/src/dispatch/home_state.rs
@@ -250,7 +250,7 @@
 
     fn answer_decision(&mut self, now: BootTime, decision: ShardDecision) -> HomeAnswer {
         match decision {
-            ShardDecision::Granted(ask, target) => {
+            ShardDecision::Granted(ask, target, is_cached) => {
                 let answer = granted_answer(&ask.key, &target);
                 let shard = ShardName { service: ask.request.service, index: ask.request.shard };
                 let permit = GrantedPermit {
@@ -258,6 +258,7 @@
                     target,
                     organisation: ask.request.organisation,
                     expected_tokens: ask.request.expected_tokens.max(1),
+                    is_cached,
                     heard_at: now,
                 };
                 self.asks.set(ask.key, AskState::Granted(permit));
@@ -279,7 +280,7 @@
         match release.outcome {
             PermitOutcome::Finished => {
                 let first_token = Duration::from_millis(u64::from(release.first_token_ms));
-                if target.slow_start.finish(now, first_token) {
+                if target.slow_start.finish(now, first_token, permit.is_cached) {
                     log::info!(target_id = permit.target.as_str(); "target_cold");
                 }
             }
--- a/src/dispatch/home_upkeep.rs
+++ b/src/dispatch/home_upkeep.rs
@@ -221,6 +221,7 @@
             target: target.to_owned(),
             organisation: OrganisationId::new(),
             expected_tokens: 0,
+            is_cached: false,
             heard_at: now,
         };
         self.asks.set(key, AskState::Granted(permit));
--- a/src/policy/domain_choice.rs
+++ b/src/policy/domain_choice.rs
@@ -5,8 +5,8 @@
 
 use crate::prelude::*;
 
-/// An expected wait above this makes the entry host compare other domains.
-const LONG_WAIT: Duration = Duration::from_millis(500);
+/// An expected wait above this makes the entry host compare other domains; it is a few times what asking there costs.
+const LONG_WAIT: Duration = Duration::from_millis(20);
 
 /// What an entry host knows of a service in one failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/policy/slot_reserve.rs
+++ b/src/policy/slot_reserve.rs
@@ -9,6 +9,9 @@
 /// Slots that are kept, in percent. Engines with a quarter of their slots free also produce each token faster.
 const RESERVE_PERCENT: u32 = 25;
 
+/// An organisation that uses this many times less than the largest user, by weight, may use the kept slots.
+const LARGE_USE: f64 = 2.0;
+
 /// An organisation that asked within this time counts in the shares.
 const ACTIVE_TIME: Duration = Duration::from_secs(10);
 
@@ -56,7 +59,11 @@
         let own = &self.users[position];
         let active = self.users.iter().filter(|user| user.running > 0 || is_recent(user, now));
         let weights: f64 = active.map(|user| user.weight).sum();
-        f64::from(own.running) * weights < f64::from(slots) * own.weight
+        let is_below_share = f64::from(own.running) * weights < f64::from(slots) * own.weight;
+        // Small shares are less than one slot; whoever uses far less than the largest user is not the flood.
+        let own_use = f64::from(own.running) / own.weight;
+        let largest_use = self.users.iter().map(|user| f64::from(user.running) / user.weight).fold(0.0, f64::max);
+        is_below_share || own_use * LARGE_USE <= largest_use
     }
 
     fn position(&mut self, organisation: &str) -> usize {
--- a/src/policy/target_choice.rs
+++ b/src/policy/target_choice.rs
@@ -8,7 +8,7 @@
 use crate::prelude::*;
 
 /// Score of a whole prefix in the cache, against [`LOAD_WEIGHT`] for a full target.
-const AFFINITY_WEIGHT: i64 = 60;
+const AFFINITY_WEIGHT: i64 = 80;
 
 /// Score lost by a target that is full.
 const LOAD_WEIGHT: i64 = 100;
--- a/standins/src/experiment/measures.rs
+++ b/standins/src/experiment/measures.rs
@@ -40,7 +40,7 @@
     pub step_starts: Vec<Vec<f64>>,
     /// Most requests on an engine in a cold phase over what it bears.
     pub cold_overload: f64,
-    /// Mean time of one routing call in microseconds of this machine.
+    /// Time of all routing work over the number of asks, in microseconds of this machine.
     pub decision_micros: f64,
 }
 
