--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! Every refusal has a numbered code in an error body.
 
 pub mod caller_key;
+pub mod claimed_routes;
 pub mod completions;
 pub mod event_stream;
 pub mod paths;
@@ -26,9 +27,10 @@
 use crate::generated::caller_messages::{StepAccepted, StepRequest};
 use crate::http_server::connection::error_reply;
 use crate::http_server::{HttpReply, HttpRequest, RequestHandler};
-use crate::platform::PlatformClient;
 use crate::prelude::*;
 use crate::report::burn_recorder::BurnRecorder;
+use crate::report::refusal_log::RefusalLog;
+use crate::traffic::claim_store::ClaimStore;
 use crate::traffic::engine_runner::EngineParts;
 
 /// Function that accepts a step.
@@ -47,8 +49,8 @@
 pub struct GatewayParts {
     /// Runs requests on targets.
     pub engine: EngineParts,
-    /// Table of claims.
-    pub platform: PlatformClient,
+    /// Claims of requests that may not be repeated.
+    pub claims: Arc<ClaimStore>,
     /// Accepts steps.
     pub submit_step: StepSubmit,
     /// Gives batches of samples.
@@ -59,6 +61,8 @@
     pub registry: Registry,
     /// Counts requests against their objectives.
     pub objectives: Arc<BurnRecorder>,
+    /// Keeps recent refusals.
+    pub refusals: Arc<RefusalLog>,
 }
 
 /// State shared by all requests.
@@ -212,6 +216,10 @@
             allow(method, &["POST"])?;
             step_routes::answer_release(context, trace, service)
         }
+        ["requests", key] => {
+            allow(method, &["GET"])?;
+            claimed_routes::answer_outcome(context, trace, key)
+        }
         _ => Err(ResultCode::NotFound),
     }
 }
--- a/src/gateway/plain_routes.rs
+++ b/src/gateway/plain_routes.rs
@@ -1,6 +1,7 @@
 //! Declared routes of plain services.
 
 use crate::gateway::caller_key::{Caller, bearer_key, check_leaks};
+use crate::gateway::claimed_routes::answer_claimed;
 use crate::gateway::completions::{READER_CHECK, RUN_STACK, shared_stop};
 use crate::gateway::request_trace::RequestTrace;
 use crate::gateway::{Answered, Gateway, RequestContext, check_dependencies};
@@ -34,7 +35,7 @@
     let deadline = context.deadline(answer_limit)?.min(context.now + answer_limit);
     let run = plain_run(context, route, caller.as_ref(), answer_limit)?;
     if !route.repeatable {
-        return Err(ResultCode::ClaimMissing);
+        return answer_claimed(context, trace, &run, caller.as_ref().map(|caller| &caller.key_id));
     }
     let key = page_key(route, &run);
     let reader = join_run(context.gateway, key, run, deadline)?;
--- a/src/serve/host_parts.rs
+++ b/src/serve/host_parts.rs
@@ -1,8 +1,10 @@
 //! The parts of a running host, started in the order of their dependencies.
 
 use std::io;
-use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, OnceLock, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use prometheus::Registry;
 use rand::SeedableRng;
@@ -22,11 +24,17 @@
 use crate::platform::store_access::StoreAccess;
 use crate::prelude::*;
 use crate::report::burn_recorder::BurnRecorder;
+use crate::report::refusal_log::RefusalLog;
 use crate::samples::StepService;
 use crate::samples::plain_grader::PlainGrader;
 use crate::serve::operator_parts::operator_parts;
 use crate::serve::retry_functions::retry_policy;
+use crate::traffic::claim_store::ClaimStore;
+use crate::traffic::crash_guard::CrashGuard;
 use crate::traffic::engine_runner::{EngineParts, engine_runner};
+use crate::traffic::retry_policy::RetryPolicy;
+use crate::usage::usage_keeper::{UsageKeeper, UsageParts};
+use crate::usage::{UsageSink, UsageTiming};
 
 /// Threads of the runtime that parses HTTP and runs the peer links.
 const RUNTIME_THREADS: usize = 2;
@@ -34,6 +42,9 @@
 /// Stack of a request thread in bytes; requests keep their data on the heap.
 const REQUEST_STACK: usize = 512 * 1024;
 
+/// Time that a planned stop waits for answers that the store has not taken; without them the outcome is unknown.
+const CLAIM_SETTLE_LIMIT: Duration = Duration::from_secs(10);
+
 /// Requests of operators handled at one time.
 const OPERATOR_REQUESTS: usize = 16;
 
@@ -49,6 +60,8 @@
     pub operators: HttpServer,
     /// Set when background work shall end.
     pub stopping: Arc<AtomicBool>,
+    claims: Arc<ClaimStore>,
+    keepers: Mutex<Vec<JoinHandle<()>>>,
     // Kept until the host ends: dropping them stops their threads.
     _dispatch: Arc<DispatchHandle>,
     _runtime: Runtime,
@@ -77,26 +90,56 @@
         let control_settings = ControlSettings { origin, seed: draw_seed(&mut generator) };
         start_control(inbox, control_settings, &client, network.clone())?;
         let dispatch = start_dispatch(DispatchSetup::new(control.clone(), network.sender(), registry.clone()));
-        let _ = late_handler.set(Arc::clone(&dispatch.frame_handler));
+        let crashes = crash_guard(&control, &network);
+        let usage = UsageKeeper::new(usage_parts(settings, &control, &client, &network));
+        let (permit_frames, crash_frames) = (Arc::clone(&dispatch.frame_handler), Arc::clone(&crashes));
+        let usage_frames = Arc::clone(&usage);
+        let _ = late_handler.set(Arc::new(move |from, frame| {
+            crash_frames.take_frame(from, &frame);
+            usage_frames.take_frame(&frame);
+            permit_frames(from, frame);
+        }));
         let dispatch = Arc::new(dispatch);
 
-        let engine = engine_parts(&control, &dispatch, ChaCha8Rng::seed_from_u64(draw_seed(&mut generator)));
+        let retries = retry_policy(ChaCha8Rng::seed_from_u64(draw_seed(&mut generator)));
+        let engine = engine_parts(&control, &dispatch, retries, crashes, usage.sink());
         let steps = start_steps(&control, &client, &engine, &registry);
         let stopping = Arc::new(AtomicBool::new(false));
-        steps.start_keeper(Arc::clone(&stopping))?;
+        let keepers = vec![steps.start_keeper(Arc::clone(&stopping))?, usage.start(Arc::clone(&stopping))?];
         let recorder = Arc::new(BurnRecorder::new(&settings.host, &settings.failure_domain, boot_time()));
-        let parts = gateway_parts(engine, &client, &steps, &registry, &recorder);
+        let refusals = Arc::new(RefusalLog::default());
+        let claims = ClaimStore::start(client.clone(), Arc::clone(&engine.view), Arc::clone(&engine.clock));
+        let parts = gateway_parts(engine, &claims, &steps, &registry, &recorder, &refusals);
         let callers = HttpServer::start(&runtime, &settings.caller_address, limits(settings), caller_handler(parts))?;
-        let operators = operator_parts(settings, &control, &client, registry, recorder);
+        let operators = operator_parts(settings, &control, &client, registry, recorder, refusals);
         let operator_limits = ServerLimits { requests: OPERATOR_REQUESTS, ..ServerLimits::default() };
         let operators =
             HttpServer::start(&runtime, &settings.operator_address, operator_limits, operator_handler(operators))?;
-        Ok(Self { control, network, callers, operators, stopping, _dispatch: dispatch, _runtime: runtime })
+        let keepers = Mutex::new(keepers);
+        Ok(Self {
+            control,
+            network,
+            callers,
+            operators,
+            stopping,
+            claims,
+            keepers,
+            _dispatch: dispatch,
+            _runtime: runtime,
+        })
     }
 
     /// Ends background work after the last request.
     pub fn finish_background(&self) {
         self.stopping.store(true, Ordering::Release);
+        let deadline = boot_time() + CLAIM_SETTLE_LIMIT;
+        while self.claims.unsettled() > 0 && boot_time() < deadline {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        // The keepers end after their last flush, whose store calls have time limits.
+        for keeper in self.keepers.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+            let _ = keeper.join();
+        }
     }
 }
 
@@ -155,14 +198,48 @@
     PeerNetwork::start(runtime.handle(), &settings.peer_address, identity, handler)
 }
 
-fn engine_parts(control: &ControlHandle, dispatch: &DispatchHandle, generator: ChaCha8Rng) -> EngineParts {
+fn crash_guard(control: &ControlHandle, network: &PeerNetwork) -> Arc<CrashGuard> {
+    let control = control.clone();
+    CrashGuard::new(Arc::new(move || control.view()), Arc::new(boot_time), network.sender())
+}
+
+fn engine_parts(
+    control: &ControlHandle,
+    dispatch: &DispatchHandle,
+    retries: RetryPolicy,
+    crashes: Arc<CrashGuard>,
+    usage: UsageSink,
+) -> EngineParts {
     let control = control.clone();
     EngineParts {
         permits: Arc::clone(&dispatch.source),
         view: Arc::new(move || control.view()),
-        usage: Arc::new(|_| {}),
-        retries: retry_policy(generator),
+        usage,
+        retries,
         clock: Arc::new(boot_time),
+        crashes,
+    }
+}
+
+fn usage_parts(
+    settings: &ProcessSettings,
+    control: &ControlHandle,
+    client: &PlatformClient,
+    network: &PeerNetwork,
+) -> UsageParts {
+    let reports = client.clone();
+    let timing = UsageTiming {
+        window: Duration::from_secs(u64::from(settings.usage_window_seconds)),
+        freeze_delay: Duration::from_secs(u64::from(settings.usage_freeze_seconds)),
+    };
+    UsageParts {
+        control: control.clone(),
+        store: StoreAccess::of_client(client),
+        frames: network.sender(),
+        reports: Arc::new(move |report| reports.report_usage(report)),
+        clock: Arc::new(boot_time),
+        wall: Arc::new(|| SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()),
+        timing,
     }
 }
 
@@ -183,15 +260,16 @@
 
 fn gateway_parts(
     engine: EngineParts,
-    client: &PlatformClient,
+    claims: &Arc<ClaimStore>,
     steps: &Arc<StepService>,
     registry: &Registry,
     recorder: &Arc<BurnRecorder>,
+    refusals: &Arc<RefusalLog>,
 ) -> GatewayParts {
     let (submits, batches) = (Arc::clone(steps), Arc::clone(steps));
     GatewayParts {
         engine,
-        platform: client.clone(),
+        claims: Arc::clone(claims),
         submit_step: Arc::new(move |organisation, request| submits.submit_step(organisation, &request)),
         next_batch: Arc::new(move |organisation, trainer, step, cursor, wait| {
             batches.next_batch(organisation, trainer, step, cursor, wait)
@@ -199,5 +277,6 @@
         release_weights: Arc::new(|_, _, _| Err(ResultCode::NotFound)),
         registry: registry.clone(),
         objectives: Arc::clone(recorder),
+        refusals: Arc::clone(refusals),
     }
 }
