Test full views and late withdrawals in a store outage

Change: all hosts restart in a store outage, with the host list available; a host is cut off for 30 s while a key is withdrawn. The simulated outage leaves the host list alone, so that restarted hosts learn from peers.

--- a/tests/integration/control_faults.rs
+++ b/tests/integration/control_faults.rs
@@ -15,7 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::support::invariant_checks::{HostIsland, InvariantChecks, RESOURCE, admits};
-use crate::support::sim_cluster::{LinkMode, SimCluster, StoreMode};
+use crate::support::sim_cluster::{LinkMode, SimCluster, SimHost, StoreMode};
 
 /// First withdrawn at host 0, second at host 4, third never.
 const KEYS: [&str; 3] = ["k1", "k2", "k3"];
@@ -383,6 +383,55 @@
     }
 }
 
+/// Guards against hosts that know nothing and make each other look fresh, after all of them restarted in an outage of
+/// the store.
+#[googletest::test]
+fn restarted_hosts_do_not_confirm_each_other() {
+    let mut scenario = Scenario::new(1);
+    scenario.run_until(Duration::from_secs(5));
+    scenario.act(0);
+    scenario.run_until(Duration::from_secs(15));
+    scenario.cluster.set_store(StoreMode::Down);
+    for host in 0..scenario.cluster.hosts.len() {
+        scenario.cluster.kill(host);
+        scenario.cluster.restart(host);
+    }
+    let mut fresh = 0;
+    scenario.cluster.run_until(Duration::from_secs(35), |cluster| {
+        fresh += cluster.hosts.iter().filter(|host| host.view.is_fresh(host.local(cluster.now))).count();
+    });
+    expect_that!(fresh, eq(0));
+    let listed = scenario.cluster.hosts.iter().all(|host| host.view.domains.len() == 3);
+    expect_that!(listed, eq(true), "the hosts know each other");
+    scenario.cluster.set_store(StoreMode::Up);
+    scenario.run_until(Duration::from_secs(45));
+    let is_ready = |host: &SimHost| admits(&host.view, host.local(scenario.cluster.now), KEYS[2]);
+    expect_that!(scenario.cluster.hosts.iter().all(is_ready), eq(true));
+}
+
+/// Guards against a host that was cut off while a key was withdrawn, and after that neither learns of it from its peers
+/// nor honours other keys, because the withdrawal is older than those that gossip carries.
+#[googletest::test]
+fn host_learns_old_withdrawals_from_peers() {
+    let mut scenario = Scenario::new(2);
+    scenario.run_until(Duration::from_secs(5));
+    scenario.act(0);
+    scenario.run_until(Duration::from_secs(15));
+    let begin = Duration::from_secs(15);
+    let cut = PlannedFault { kind: FaultKind::CutAndStore, victim: Victim::Other, begin, length: begin };
+    let outage = PlannedFault { kind: FaultKind::StoreDown, begin: begin + Duration::from_millis(1), ..cut };
+    scenario.begin(cut);
+    scenario.begin(outage);
+    scenario.withdraw(0, KEYS[0]);
+    scenario.run_until(Duration::from_secs(45));
+    scenario.end(cut);
+    scenario.run_until(Duration::from_secs(53));
+    expect_that!(scenario.checks.violations, is_empty());
+    let host = &scenario.cluster.hosts[4];
+    let local = host.local(scenario.cluster.now);
+    expect_that!(KEYS.map(|key| admits(&host.view, local, key)), eq([false, true, true]));
+}
+
 /// Guards against a fault at some step after which a withdrawn key works, a configuration goes back or differs, two
 /// hosts own a resource, a cut-off or restarted host admits work, or the hosts do not recover.
 #[googletest::test]
--- a/tests/integration/support/sim_cluster.rs
+++ b/tests/integration/support/sim_cluster.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use camphorspring::control::control_state::{ControlAction, ControlState};
-use camphorspring::control::store_call::{StoreCommand, StoreReport};
+use camphorspring::control::store_call::{StoreCall, StoreCommand, StoreReport};
 use camphorspring::control::{ControlEvent, ControlView, PeerOrigin};
 use camphorspring::generated::peer_messages::PeerFrame;
 use camphorspring::generated::platform_messages::{HostRecord, HostState};
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreMode {
     Up,
-    /// No effect, no answer.
+    /// No effect, no answer; the host list, which is another service, answers.
     Down,
     /// Effect, no answer.
     AnswerLost,
@@ -220,7 +220,8 @@
             self.report(host, delay, command, started_at, Err(PlatformFault::NotSent));
             return;
         }
-        match self.store_mode {
+        let mode = if command.call == StoreCall::ListHosts { StoreMode::Up } else { self.store_mode };
+        match mode {
             StoreMode::Up => self.push(host, delay, SimEvent::StoreEffect(command, started_at, true)),
             StoreMode::Slow => {
                 let delay = delay + Duration::from_millis(1700);
