Prove pairs of engine faults

Cause: engine faults were played one at a time. Change: each of seven faults of the first engine is followed by each of seven faults of the engine that takes over. Figures: 49 pairs: a whole text in each, or 1601 in the four in which both engines die under the request, which is held to be the cause (1601).

--- a/tests/integration/engine_runs.rs
+++ b/tests/integration/engine_runs.rs
@@ -253,3 +253,53 @@
     wait_until("the permit is back", || bench.reports.lock().unwrap().len() == 3);
     expect_that!(bench.reports.lock().unwrap()[2].total, lt(ENGINE_IDLE_LIMIT));
 }
+
+/// Faults of the first engine in one row of the pair table, each followed by each fault of the second engine.
+const PAIRED_FAULTS: [TargetFault; 7] = [
+    TargetFault::DieAfter(0),
+    TargetFault::DieAfter(3),
+    TargetFault::Status(500),
+    TargetFault::Unstamped(2),
+    TargetFault::Repeat,
+    TargetFault::Crossed(2),
+    TargetFault::Gap(4),
+];
+
+fn run_fault_row(first_fault: &TargetFault) -> Vec<String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let engines = [1, 2, 3].map(|version| ScriptedTarget::engine(&runtime, version));
+    let ids = ["e1", "e2", "e3"];
+    let targets: Vec<PlacedTarget<'_>> = ids
+        .iter()
+        .zip(&engines)
+        .map(|(id, engine)| PlacedTarget { service: "scoring", id, address: &engine.address })
+        .collect();
+    let bench = GatewayBench::start(&targets, NO_PLATFORM);
+    let mut wrong = Vec::new();
+    for (seed, second_fault) in PAIRED_FAULTS.iter().enumerate() {
+        for (engine, fault) in engines.iter().zip([first_fault, second_fault]) {
+            engine.faults.lock().unwrap().clear();
+            engine.script([fault.clone()]);
+        }
+        let body = format!(r#"{{"model":"pile","prompt":"p","max_tokens":8,"seed":{seed}}}"#);
+        let (status, answer) = bench.complete(&body);
+        let answer: serde_json::Value = serde_json::from_str(&answer).unwrap();
+        let is_whole = status == 200 && answer["choices"][0]["text"] == whole_text(8);
+        // Alone on two targets that crashed, a request is held to be the cause.
+        let is_death = |fault: &TargetFault| matches!(fault, TargetFault::DieAfter(_));
+        let is_quarantined = is_death(first_fault) && is_death(second_fault) && answer["code"] == 1601;
+        if !is_whole && !is_quarantined {
+            wrong.push(format!("{first_fault:?} then {second_fault:?}: {status} {answer}"));
+        }
+    }
+    wrong
+}
+
+/// Guards against a text that is lost or wrong when the engine that takes over fails as well.
+#[googletest::test]
+fn pairs_of_engine_faults_give_the_whole_text() {
+    let rows: Vec<_> =
+        PAIRED_FAULTS.into_iter().map(|fault| std::thread::spawn(move || run_fault_row(&fault))).collect();
+    let wrong: Vec<String> = rows.into_iter().flat_map(|row| row.join().unwrap()).collect();
+    expect_that!(wrong, is_empty());
+}
