--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod command_line;
 mod control_faults;
 mod control_links;
+mod control_results;
 mod dispatch;
 mod engine_runs;
 mod gateway;
