--- a/tests/integration/dispatch/faults.rs
+++ b/tests/integration/dispatch/faults.rs
@@ -4,6 +4,8 @@
 
 use camphorspring::control::PeerOrigin;
 use camphorspring::dispatch::dispatch_core::CoreAction;
+use camphorspring::dispatch::home_target::HomeTarget;
+use camphorspring::generated::engine_messages::EngineLoad;
 use camphorspring::generated::peer_messages::{PeerFrame, PermitGrant, PermitOutcome, PermitRelease, PermitRequest};
 use camphorspring::prelude::*;
 use googletest::prelude::*;
@@ -342,3 +344,44 @@
         expect_that!(is_granted, eq(true), "seed {seed}");
     }
 }
+
+/// Guards against a permit for a host that the home's view shows as dead: it would be dropped while its request runs.
+#[googletest::test]
+fn host_seen_as_dead_gets_no_permit() {
+    let mut network = SimNetwork::new(1, &HOSTS, configuration(&TARGETS, 1, 1));
+    network.run(START);
+    let home = north_home(&network);
+    let other = if home == "north-1" { "north-2" } else { "north-1" };
+    network.see_dead(other);
+    let (now, position) = (network.now, network.position(&home));
+    let state = &mut network.hosts[position];
+    let view = std::sync::Arc::clone(&state.view);
+    let actions = state.core.frame(&view, now, &peer(other, "north"), &permit_request(3).into());
+    expect_that!(state.core.home.asks.count_permits(), is_empty());
+    let code = ResultCode::NotReady.number();
+    let refusal = PermitGrant { ticket: 3, result_code: code, target: None, expected_wait_ms: None, home: None };
+    expect_that!(actions, elements_are![eq(&CoreAction::Send(other.to_owned(), refusal.into()))]);
+}
+
+/// Guards against a load report from before the loss of a permit's holder that is taken for the end of its request.
+#[googletest::test]
+fn old_report_does_not_end_lost_permit() {
+    let entry = configuration(&[("n1", "north")], 2, 2).targets.remove(0);
+    let second = Duration::from_secs(1);
+    let report = |running, age_ms, at: u64| EngineLoad {
+        age_ms,
+        running,
+        staged_version: None,
+        started_ms: at * 1000 - age_ms,
+        weight_version: 1,
+    };
+    let mut target = HomeTarget::new(&entry, 1, 0, second * 10);
+    target.apply_load(second * 10, &report(0, 500, 10), false);
+    target.add_permit();
+    target.drop_permit();
+    target.lose_permit(second * 20);
+    target.apply_load(second * 20, &report(0, 500, 20), false);
+    expect_that!(target.running(), eq(1));
+    target.apply_load(second * 21, &report(0, 500, 21), false);
+    expect_that!(target.running(), eq(0));
+}
