Test the shard plan and the choice of free shards

Cause: the pure parts were only tested through the I/O around them; a shard whose run could not start was claimed again and again. Conclusion: none.

--- a/src/samples/shard_discovery.rs
+++ b/src/samples/shard_discovery.rs
@@ -173,9 +173,13 @@
         }
     }
 
-    /// Takes note that the run of a shard ended.
-    pub fn end_run(&mut self, name: &ShardName) -> DiscoveryAction {
+    /// Takes note that the run of a shard ended. A shard that could not be completed here is left alone for a while, so
+    /// that one whose step cannot run is not claimed over and over.
+    pub fn end_run(&mut self, name: &ShardName, is_complete: bool, now: BootTime) -> DiscoveryAction {
         self.wishes.retain(|wish| wish.name != *name);
+        if !is_complete {
+            self.pauses.push(ShardPause { name: name.clone(), until: now + WISH_PAUSE });
+        }
         DiscoveryAction::Drop(name.clone())
     }
 
--- a/src/samples/shard_keeper.rs
+++ b/src/samples/shard_keeper.rs
@@ -9,7 +9,7 @@
 use crate::samples::host_rank::live_hosts;
 use crate::samples::shard_discovery::{DiscoveryAction, OpenShard, ShardWishes};
 use crate::samples::shard_run::ShardContext;
-use crate::samples::shard_runner::run_shard;
+use crate::samples::shard_runner::{ShardEnd, run_shard};
 use crate::samples::step_rows::{OPEN_SHARDS_TABLE, RESOURCES_TABLE, ShardName, step_prefix};
 
 /// Period in which a host with room for further shards looks for them.
@@ -107,26 +107,32 @@
             DiscoveryAction::Drop(name) => {
                 self.context.control.send(ControlEvent::DropResource(name.resource()));
             }
-            DiscoveryAction::Run(name) => self.start_run(name),
+            DiscoveryAction::Run(name) => self.start_run(&name),
         }
     }
 
-    fn start_run(&self, name: ShardName) {
-        let context = self.context.clone();
-        let wishes = self.wishes.clone();
+    fn start_run(&self, name: &ShardName) {
+        let (context, wishes, shard) = (self.context.clone(), self.wishes.clone(), name.clone());
         let run = move || {
-            let _ = run_shard(&context, &name);
-            let mut wishes = wishes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-            if let DiscoveryAction::Drop(name) = wishes.end_run(&name) {
-                context.control.send(ControlEvent::DropResource(name.resource()));
-            }
+            let end = run_shard(&context, &shard);
+            end_run(&context, &wishes, &shard, end == ShardEnd::Complete);
         };
         if let Err(error) = std::thread::Builder::new().name("shard".to_owned()).spawn(run) {
             log::error!(error = error.to_string().as_str(); "shard_thread_failed");
+            end_run(&self.context, &self.wishes, name, false);
         }
     }
 }
 
+fn end_run(context: &ShardContext, wishes: &Mutex<ShardWishes>, name: &ShardName, is_complete: bool) {
+    let mut wishes = wishes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let action = wishes.end_run(name, is_complete, (context.clock)());
+    drop(wishes);
+    if let DiscoveryAction::Drop(name) = action {
+        context.control.send(ControlEvent::DropResource(name.resource()));
+    }
+}
+
 /// Whether this host stands in a domain of the services text and is not about to stop.
 fn may_take_shards(view: &ControlView) -> bool {
     let is_domain_used = view.configuration.targets.iter().any(|target| target.failure_domain == view.failure_domain);
--- a/tests/integration/samples.rs
+++ b/tests/integration/samples.rs
@@ -1,6 +1,7 @@
 //! Steps: each sample is delivered once, with the labels that the engines stamped, whatever fails on the way.
 
 mod platform_step;
+mod shard_rules;
 mod step_harness;
 
 use std::sync::Arc;
--- /dev/null
+++ b/tests/integration/samples/shard_rules.rs
@@ -0,0 +1,174 @@
+//! Rules of the pure parts: the plan of a shard and the choice of free shards.
+
+use std::time::Duration;
+
+use camphorspring::generated::caller_messages::SampleRecord;
+use camphorspring::result_code::ResultCode;
+use camphorspring::samples::shard_discovery::{DiscoveryAction, OpenShard, SHARDS_WANTED, ShardWishes};
+use camphorspring::samples::shard_plan::{
+    BatchGroup, GroupResult, GroupSpec, PlanAction, PlanLimits, SampleSlot, ShardPlan,
+};
+use camphorspring::samples::step_rows::ShardName;
+use googletest::prelude::*;
+use proptest::prelude::{prop_assert, prop_assert_eq};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const CONCURRENCY: usize = 8;
+
+fn new_plan(groups: u32, samples: u32) -> ShardPlan {
+    let spec = |number: u32| GroupSpec {
+        group: format!("g{number}"),
+        prompt: String::new(),
+        samples,
+        max_tokens: 10 + number % 3,
+    };
+    let limits = PlanLimits { concurrency: CONCURRENCY, flush_after: Duration::from_secs(5) };
+    ShardPlan::new((0..groups).map(spec).collect(), &[], limits)
+}
+
+fn record(slot: SampleSlot, copy: u64) -> SampleRecord {
+    SampleRecord {
+        sample_id: format!("{}/{}", slot.group, slot.index),
+        group: format!("g{}", slot.group),
+        index: slot.index,
+        text: copy.to_string(),
+        tokens: 1,
+        score: 0.0,
+        weight_versions: Vec::new(),
+    }
+}
+
+fn started(actions: &[PlanAction]) -> Vec<(u64, SampleSlot)> {
+    let start = |action: &PlanAction| match *action {
+        PlanAction::Start { copy, slot } => Some((copy, slot)),
+        PlanAction::Cancel { .. } => None,
+    };
+    actions.iter().filter_map(start).collect()
+}
+
+/// Guards against plans that run too many copies, lose or repeat a sample, or cut batches that are too large, when
+/// copies fail and finish in any order.
+#[googletest::test]
+fn plan_finishes_each_sample_once() {
+    let seed = 41_u64;
+    println!("seed {seed}");
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(Config { cases: 60, ..Config::default() }, rng);
+    let choices = proptest::collection::vec((0_usize..CONCURRENCY, 0_u8..8), 400);
+    let result = runner.run(&(1_u32..20, 1_u32..30, choices), |(groups, samples, choices)| {
+        let mut plan = new_plan(groups, samples);
+        let mut running: Vec<(u64, SampleSlot)> = Vec::new();
+        let mut batches: Vec<BatchGroup> = Vec::new();
+        let mut written = Vec::new();
+        let mut now = Duration::ZERO;
+        let mut choices = choices.into_iter().cycle();
+        while !plan.is_complete() {
+            now += Duration::from_millis(200);
+            running.extend(started(&plan.start_copies(now)));
+            prop_assert!(running.len() <= CONCURRENCY);
+            let (position, outcome) = choices.next().unwrap();
+            if !running.is_empty() {
+                let (copy, slot) = running.remove(position % running.len());
+                let result = if outcome == 0 { Err(ResultCode::TargetFailed) } else { Ok(record(slot, copy)) };
+                for action in plan.take_result(copy, result, now) {
+                    running.retain(|(other, _)| action != PlanAction::Cancel { copy: *other });
+                }
+            }
+            if let Some(batch) = plan.take_batch(now) {
+                let size: usize = batch.iter().map(|group| group.result.samples()).sum();
+                prop_assert!(size <= 64 || batch.len() == 1);
+                written.extend(batch.iter().map(|group| group.group));
+                plan.set_written(&written);
+                batches.extend(batch);
+            }
+        }
+        let samples_of = |group: &BatchGroup| match &group.result {
+            GroupResult::Samples(samples) => samples.iter().map(|sample| sample.sample_id.clone()).collect(),
+            GroupResult::Failed(_) => Vec::new(),
+        };
+        let mut ids: Vec<String> = batches.iter().flat_map(samples_of).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        prop_assert_eq!(ids.len(), (groups * samples) as usize);
+        prop_assert_eq!(batches.len(), groups as usize);
+        Ok(())
+    });
+    expect_that!(result, ok(anything()));
+}
+
+/// Guards against a step that waits for one slow engine: the last sample gets a second copy, the first complete copy
+/// counts and the other one is cancelled.
+#[googletest::test]
+fn straggler_gets_a_second_copy() {
+    let mut plan = new_plan(20, 1);
+    let mut now = Duration::ZERO;
+    let mut held = None;
+    let mut done = 0;
+    while done < 19 {
+        now += Duration::from_millis(100);
+        for (copy, slot) in started(&plan.start_copies(now)) {
+            if held.is_none() {
+                held = Some((copy, slot));
+                continue;
+            }
+            done += 1;
+            plan.take_result(copy, Ok(record(slot, copy)), now + Duration::from_secs(1));
+        }
+    }
+    let (first, slot) = held.unwrap();
+    expect_that!(started(&plan.start_copies(now)), is_empty());
+    now += Duration::from_mins(1);
+    let second = started(&plan.start_copies(now));
+    expect_that!(second.iter().map(|(_, slot)| *slot).collect::<Vec<_>>(), eq(&vec![slot]));
+    let cancelled = plan.take_result(second[0].0, Ok(record(slot, second[0].0)), now);
+    expect_that!(cancelled, eq(&vec![PlanAction::Cancel { copy: first }]));
+    expect_that!(plan.take_result(first, Ok(record(slot, first)), now), is_empty());
+}
+
+/// Guards against a step that stays open because of a group that is refused for good.
+#[googletest::test]
+fn refused_group_is_finished_as_failed() {
+    let mut plan = new_plan(1, 3);
+    let copies = started(&plan.start_copies(Duration::ZERO));
+    let cancelled = plan.take_result(copies[0].0, Err(ResultCode::Quarantined), Duration::ZERO);
+    expect_that!(cancelled.len(), eq(2));
+    let batch = plan.take_batch(Duration::ZERO).unwrap();
+    expect_that!(matches!(&batch[0].result, GroupResult::Failed(failed) if failed.code == 1204), eq(true));
+}
+
+/// Guards against hosts that all want the same shards, and against shards that nobody wants: ten hosts look at 64 free
+/// shards until all are taken, and the first host that wants one gets it.
+#[googletest::test]
+fn hosts_share_free_shards() {
+    let hosts: Vec<String> = (0..10).map(|number| format!("host-{number}")).collect();
+    let mut wishes = vec![ShardWishes::default(); hosts.len()];
+    let name = |shard| ShardName { trainer: "t".to_owned(), step: 1, shard };
+    let mut owners: Vec<Option<usize>> = vec![None; 64];
+    let mut wanted = 0;
+    for round in 0..60_u64 {
+        let now = Duration::from_secs(2 * round);
+        for (host, host_name) in hosts.iter().enumerate() {
+            let is_open = |shard: &u32| owners[*shard as usize].is_none_or(|owner| owner != host);
+            let open: Vec<OpenShard> = (0..64)
+                .filter(is_open)
+                .map(|shard| OpenShard { name: name(shard), is_taken: owners[shard as usize].is_some() })
+                .collect();
+            wishes[host].advance(|_| false, now);
+            for action in wishes[host].add_wishes(host_name, &hosts, &open, now) {
+                let DiscoveryAction::Want(shard) = action else { continue };
+                let owner = &mut owners[shard.shard as usize];
+                wanted += usize::from(owner.is_none());
+                if owner.is_none() {
+                    *owner = Some(host);
+                    let _ = wishes[host].end_run(&shard, true, now);
+                }
+            }
+            let free = wishes[host].wishes().iter().filter(|wish| !wish.is_standby).count();
+            expect_that!(free, le(SHARDS_WANTED));
+        }
+    }
+    expect_that!(owners.iter().filter(|owner| owner.is_none()).count(), eq(0));
+    expect_that!(wanted, eq(64));
+}
