--- a/tests/integration/traffic_bench.rs
+++ b/tests/integration/traffic_bench.rs
@@ -135,6 +135,12 @@
 }
 
 fn engine_reply(request: &HttpRequest, fault: TargetFault, version: u64) -> HttpReply {
+    if let Some(id) = request.path.strip_prefix("/v1/kv/export/") {
+        return HttpReply::json(200, &serde_json::json!({ "kv_handle": id, "tokens": 1 }));
+    }
+    if request.path == "/v1/kv/import" {
+        return HttpReply::whole(200, "application/json", request.body.clone());
+    }
     if request.path != "/v1/completions" {
         return HttpReply::json(404, &"none");
     }
@@ -278,6 +284,13 @@
 impl GatewayBench {
     /// Gateway over these targets, with a platform at `platform_url`.
     pub fn start(targets: &[PlacedTarget<'_>], platform_url: &str) -> Self {
+        Self::start_with(targets, platform_url, &|_| {})
+    }
+
+    /// The same with a changed retry policy.
+    pub fn start_with(targets: &[PlacedTarget<'_>], platform_url: &str, change: &dyn Fn(&mut RetryPolicy)) -> Self {
+        let mut retries = RetryPolicy::unlimited(Arc::new(|| 0.5));
+        change(&mut retries);
         let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
         let mut view = ControlView::empty("host-1", "east", 7);
         view.configuration = Arc::new(configuration(targets));
@@ -295,7 +308,7 @@
             permits: first_target_source(Arc::clone(&view), Arc::clone(&reports), Arc::clone(&permit_refusal)),
             view: Arc::new(move || view_source.load_full()),
             usage: Arc::new(move |event| usage_sink.lock().unwrap().push(event)),
-            retries: RetryPolicy::unlimited(Arc::new(|| 0.5)),
+            retries,
             clock: Arc::new(boot_time),
             crashes,
         };
