Take no target away while figures of its service have gaps

Cause: after a home has died the sum of the other homes' figures shows too little demand, and targets were drained. Change: there is a surplus only when the use of all running targets of the service is known.

--- a/src/orders/order_plan.rs
+++ b/src/orders/order_plan.rs
@@ -164,6 +164,7 @@
             .copied()
             .filter(|target| !wanted.contains(&target.id) && self.is_running(&target.id))
             .filter(|target| !self.is_draining(&target.id))
+            .filter(|_| self.is_use_known(&usable, inputs))
             .collect();
         let is_held = self.hold_surplus(&service.name, surplus.is_empty(), inputs.now);
         if is_held {
@@ -171,6 +172,13 @@
         }
     }
 
+    /// Whether the figures cover all running targets of a service. Figures with gaps, such as after a home has died,
+    /// show less demand than there is, and nothing may be taken away on their ground.
+    fn is_use_known(&self, usable: &[&TargetEntry], inputs: &OrderInputs<'_>) -> bool {
+        let is_known = |target: &str| inputs.demand.targets.iter().any(|known| known.target == target);
+        usable.iter().all(|target| !self.is_running(&target.id) || is_known(&target.id))
+    }
+
     /// Targets that shall run for a service: one firm target first, then by price of a slot until the capacity is
     /// enough. Of equal prices those that run stay.
     fn wanted_targets(
--- a/tests/integration/orders.rs
+++ b/tests/integration/orders.rs
@@ -116,6 +116,18 @@
     expect_that!(world.plan.running(), eq(&["desk-1", "firm-1"].map(str::to_owned)));
 }
 
+/// Guards against targets that are drained because the home of some of them is silent and the demand seems small.
+#[googletest::test]
+fn figures_with_gaps_take_nothing_away() {
+    let mut world = PlanWorld::new(&["cheap-1", "cheap-2", "desk-1", "firm-1"]);
+    let known = ["cheap-1", "firm-1"].map(str::to_owned);
+    for _ in 0..300 {
+        world.decide(&demand(1, &known, &[]), Duration::from_secs(1));
+    }
+    expect_that!(world.plan.draining(), is_empty());
+    expect_that!(world.plan.running().len(), eq(4));
+}
+
 /// Guards against a service without capacity when cheap targets cannot be had.
 #[googletest::test]
 fn unavailable_cheap_targets_are_replaced() {
