--- a/tests/integration/samples.rs
+++ b/tests/integration/samples.rs
@@ -1,5 +1,6 @@
 //! Steps: each sample is delivered once, with the labels that the engines stamped, whatever fails on the way.
 
+mod plain_grading;
 mod platform_step;
 mod shard_rules;
 mod step_harness;
--- a/tests/integration/samples/step_harness.rs
+++ b/tests/integration/samples/step_harness.rs
@@ -122,6 +122,7 @@
         };
         let mut configuration = configuration;
         configuration.services.sort_by(|left, right| left.name.cmp(&right.name));
+        configuration.targets.sort_by(|left, right| left.id.cmp(&right.id));
         Self { store: Arc::default(), engine: Arc::default(), request, configuration: Arc::new(configuration) }
     }
 
