Use the common prompt prefixes

Cause: two modules had the same hashes of prompt prefixes. Change: the runner uses that of policy; its test against the hashes of engines remains. Conclusion: no change of behaviour.

--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -10,7 +10,6 @@
 pub mod idle_transport;
 pub mod plain_client;
 pub mod plain_runner;
-pub mod prompt_prefix;
 pub mod quarantine;
 pub mod retry_policy;
 pub mod text_assembly;
--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -9,7 +9,6 @@
 use crate::traffic::crash_guard::{CrashGuard, fingerprint_of};
 use crate::traffic::engine_client::{EngineFault, cancel_request, export_cache, import_cache, open_stream};
 use crate::traffic::idle_transport::StopCheck;
-use crate::traffic::prompt_prefix::prefix_hashes;
 use crate::traffic::quarantine::Fingerprint;
 use crate::traffic::retry_policy::{ATTEMPT_LIMIT, AttemptPlace, RetryPolicy};
 use crate::traffic::text_assembly::{PieceVerdict, TextAssembly};
@@ -129,7 +128,7 @@
             stop,
             assembly: TextAssembly::new(&run.request_id, run.max_tokens, run.least_version),
             fingerprint: run_fingerprint(run),
-            prefixes: prefix_hashes(&run.prompt),
+            prefixes: prompt_prefixes(&run.prompt),
             attempts: 0,
             excluded: Vec::new(),
             last_failed: None,
--- a/tests/integration/engine_runs.rs
+++ b/tests/integration/engine_runs.rs
@@ -6,7 +6,7 @@
 use camphorspring::constants::ENGINE_IDLE_LIMIT;
 use camphorspring::generated::caller_messages::VersionSpan;
 use camphorspring::generated::engine_messages::{EnginePiece, EngineRequest};
-use camphorspring::traffic::prompt_prefix::prefix_hashes;
+use camphorspring::policy::prompt_prefix::prompt_prefixes;
 use camphorspring::traffic::text_assembly::{PieceVerdict, TextAssembly};
 use camphorspring_standins::engine::{
     EngineOptions, EngineStandin, completion_text, prefix_hashes as engine_prefix_hashes,
@@ -121,7 +121,7 @@
 fn prefix_hashes_are_those_of_engines() {
     for length in [0, 63, 64, 65, 1000] {
         let prompt: String = ('a'..='z').cycle().take(length).collect();
-        expect_that!(prefix_hashes(&prompt), eq(&engine_prefix_hashes(&prompt)));
+        expect_that!(prompt_prefixes(&prompt), eq(&engine_prefix_hashes(&prompt)));
     }
 }
 
