--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::{Permit, PermitAsk, PermitReport, PermitSource};
 use crate::generated::engine_messages::{EnginePiece, EngineRequest};
 use crate::generated::peer_messages::PermitOutcome;
+use crate::policy::prompt_prefix::prompt_prefixes;
 use crate::prelude::*;
 use crate::traffic::crash_guard::{CrashGuard, fingerprint_of};
 use crate::traffic::engine_client::{EngineFault, cancel_request, export_cache, import_cache, open_stream};
