--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -4,11 +4,11 @@
 use crate::dispatch::{Permit, PermitAsk, PermitReport, PermitSource};
 use crate::generated::engine_messages::{EnginePiece, EngineRequest};
 use crate::generated::peer_messages::PermitOutcome;
+use crate::policy::prompt_prefix::prompt_prefixes;
 use crate::prelude::*;
 use crate::traffic::crash_guard::{CrashGuard, fingerprint_of};
 use crate::traffic::engine_client::{EngineFault, cancel_request, export_cache, import_cache, open_stream};
 use crate::traffic::idle_transport::StopCheck;
-use crate::traffic::prompt_prefix::prefix_hashes;
 use crate::traffic::quarantine::Fingerprint;
 use crate::traffic::retry_policy::{ATTEMPT_LIMIT, AttemptPlace, RetryPolicy};
 use crate::traffic::text_assembly::{PieceVerdict, TextAssembly};
@@ -128,7 +128,7 @@
             stop,
             assembly: TextAssembly::new(&run.request_id, run.max_tokens, run.least_version),
             fingerprint: run_fingerprint(run),
-            prefixes: prefix_hashes(&run.prompt),
+            prefixes: prompt_prefixes(&run.prompt),
             attempts: 0,
             excluded: Vec::new(),
             last_failed: None,
