--- a/src/samples.rs
+++ b/src/samples.rs
@@ -5,6 +5,7 @@
 //! publish the weights that the samples are made with.
 
 pub mod batch_delivery;
+pub mod batch_group;
 pub mod host_rank;
 pub mod plain_grader;
 pub mod sample_metrics;
--- a/src/samples/shard_plan.rs
+++ b/src/samples/shard_plan.rs
@@ -7,6 +7,7 @@
 use crate::generated::caller_messages::{FailedGroup, SampleRecord};
 use crate::policy::straggler_plan::{SampleProgress, second_copies, start_order};
 use crate::prelude::*;
+pub use crate::samples::batch_group::{BatchGroup, GroupResult};
 
 /// Pause after the first failure of a sample; it doubles for each further one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
@@ -65,35 +66,6 @@
     },
 }
 
-/// A finished group.
-#[derive(Debug, Clone, PartialEq)]
-pub enum GroupResult {
-    /// All samples, in order.
-    Samples(Vec<SampleRecord>),
-    /// The service refuses the group for good.
-    Failed(FailedGroup),
-}
-
-impl GroupResult {
-    /// Number of samples.
-    #[must_use]
-    pub fn samples(&self) -> usize {
-        match self {
-            Self::Samples(samples) => samples.len(),
-            Self::Failed(_) => 0,
-        }
-    }
-}
-
-/// A finished group in a batch.
-#[derive(Debug, Clone, PartialEq)]
-pub struct BatchGroup {
-    /// Position of the group in the shard.
-    pub group: u32,
-    /// Result.
-    pub result: GroupResult,
-}
-
 #[derive(Debug, Clone, PartialEq)]
 enum SampleState {
     Left { not_before: BootTime, failures: u32 },
