--- a/src/serve/host_parts.rs
+++ b/src/serve/host_parts.rs
@@ -13,6 +13,7 @@
 
 use crate::control::configuration_writer::{ConfigurationWriter, PlacementKind};
 use crate::control::control_thread::{ControlSettings, control_frame_handler, create_control, start_control};
+use crate::control::incarnation::draw_incarnation;
 use crate::control::{ControlHandle, PeerOrigin};
 use crate::dispatch::dispatch_threads::{DispatchHandle, DispatchSetup, start_dispatch};
 use crate::gateway::{GatewayParts, WeightReleaser, caller_handler};
@@ -89,12 +90,12 @@
         let registry = Registry::new();
         let runtime = start_runtime(settings)?;
         let mut generator = seeded_generator(settings)?;
+        let client = PlatformClient::new(&settings.platform_url);
         let origin = PeerOrigin {
             host: settings.host.clone(),
             failure_domain: settings.failure_domain.clone(),
-            incarnation: fresh_incarnation()?,
+            incarnation: draw_incarnation(&client, &settings.host),
         };
-        let client = PlatformClient::new(&settings.platform_url);
         let (control, inbox) = create_control(&origin);
         let late_handler: Arc<OnceLock<FrameHandler>> = Arc::new(OnceLock::new());
         let network = start_network(&runtime, settings, &origin, &control, &late_handler)?;
@@ -194,12 +195,6 @@
     }
 }
 
-// Always drawn from the system, even with a seed: two lives of one host must never have the same number.
-fn fresh_incarnation() -> io::Result<Incarnation> {
-    use rand::TryRng;
-    rand::rngs::SysRng.try_next_u64().map_err(io::Error::other)
-}
-
 fn draw_seed(generator: &mut ChaCha8Rng) -> u64 {
     use rand::Rng;
     generator.next_u64()
