Let time pass in the tests of ended tickets and lost permits

Cause: with all events at one moment, both tests passed without the mechanism that they guard. Change: the home looks through its asks between the frames, and the old report arrives after the loss.

--- a/tests/integration/dispatch/faults.rs
+++ b/tests/integration/dispatch/faults.rs
@@ -293,10 +293,13 @@
         network.run(START);
         let home = north_home(&network);
         let other = if home == "north-1" { "north-2" } else { "north-1" };
-        let (now, position) = (network.now, network.position(&home));
+        let (mut now, position) = (network.now, network.position(&home));
         let state = &mut network.hosts[position];
         let view = std::sync::Arc::clone(&state.view);
         for is_request in order {
+            // Long enough for the home to look through its asks.
+            now += Duration::from_secs(2);
+            state.core.tick(&view, now);
             let frame: PeerFrame = if is_request {
                 permit_request(9).into()
             } else {
@@ -380,7 +383,7 @@
     target.add_permit();
     target.drop_permit();
     target.lose_permit(second * 20);
-    target.apply_load(second * 20, &report(0, 500, 20), false);
+    target.apply_load(second * 20 + second / 5, &report(0, 500, 20), false);
     expect_that!(target.running(), eq(1));
     target.apply_load(second * 21, &report(0, 500, 21), false);
     expect_that!(target.running(), eq(0));
