Shrink the buffers of exchanges with targets

Cause: a host held about 0.75 MiB for each open stream; the HTTP client keeps two buffers of 128 KiB for each exchange. Change: 16 KiB for each buffer.

--- a/src/traffic/idle_transport.rs
+++ b/src/traffic/idle_transport.rs
@@ -18,6 +18,10 @@
 /// Time after which a waiting read looks at its stop check again.
 const READ_SLICE: Duration = Duration::from_millis(200);
 
+/// Bytes of each buffer of an exchange. The library's 128 KiB would be held by every open stream, whose pieces are a
+/// few hundred bytes.
+const EXCHANGE_BUFFER: usize = 16 * 1024;
+
 /// Function that says whether a run shall stop, and with which code.
 pub type StopCheck = Arc<dyn Fn() -> Option<ResultCode> + Send + Sync>;
 
@@ -68,6 +72,8 @@
         .max_idle_connections_per_host(0)
         .allow_non_standard_methods(true)
         .timeout_global(limits.total)
+        .input_buffer_size(EXCHANGE_BUFFER)
+        .output_buffer_size(EXCHANGE_BUFFER)
         .proxy(None)
         .build();
     let connector = TcpConnector::default().chain(IdleConnector { limits, is_sent });
