--- a/tests/integration/settings.rs
+++ b/tests/integration/settings.rs
@@ -1,7 +1,9 @@
 //! Settings files: every error is reported with its line, and a valid file is read.
 
+use camphorspring::options::process_settings::parse_settings;
 use camphorspring::options::services_text::parse_services;
 use googletest::prelude::*;
+use proptest::prelude::{prop_assert, proptest};
 
 /// Guards against a check that stops at the first error, which makes an operator fix a text one run at a time.
 #[googletest::test]
@@ -17,3 +19,30 @@
     let services = parse_services(include_str!("settings/valid/two_domains.yaml")).unwrap();
     expect_that!(services.targets.len(), eq(3));
 }
+
+proptest! {
+    /// Guards against a check that panics, or loops, on a text of any shape.
+    #[test]
+    fn any_text_is_checked(text in "\\PC{0,200}") {
+        let _ = parse_services(&text);
+        let _ = parse_settings(&text);
+    }
+
+    /// Guards against a check that panics on a text that is damaged in one place: lines dropped, repeated or indented.
+    #[test]
+    fn damaged_texts_are_checked(line in 0_usize..24, action in 0_u8..4, indent in 0_usize..8) {
+        let valid = include_str!("settings/valid/two_domains.yaml");
+        let mut lines: Vec<String> = valid.lines().map(str::to_owned).collect();
+        let line = line % lines.len();
+        match action {
+            0 => { lines.remove(line); }
+            1 => { let copy = lines[line].clone(); lines.insert(line, copy); }
+            2 => lines[line].insert_str(0, &" ".repeat(indent)),
+            _ => { let end = lines[line].chars().count() / 2; lines[line] = lines[line].chars().take(end).collect(); }
+        }
+        if let Err(errors) = parse_services(&lines.join("\n")) {
+            prop_assert!(!errors.is_empty());
+            prop_assert!(errors.iter().all(|error| error.line >= 1));
+        }
+    }
+}
