Move the background threads of a host into a module of their own

Cause: the start of a host had grown to sixty lines in a file with three jobs. Change: background threads, the frame router and the parts they need have functions and a module of their own. Conclusion: behaviour is the same.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,5 +1,6 @@
 //! Start and planned stop of a host.
 
+pub mod background;
 pub mod host_parts;
 pub mod operator_parts;
 pub mod retry_functions;
--- a/src/serve/host_parts.rs
+++ b/src/serve/host_parts.rs
@@ -4,14 +4,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, OnceLock, PoisonError};
 use std::thread::JoinHandle;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::runtime::{Builder, Runtime};
 
-use crate::control::configuration_writer::{ConfigurationWriter, PlacementKind};
 use crate::control::control_thread::{ControlSettings, control_frame_handler, create_control, start_control};
 use crate::control::incarnation::draw_incarnation;
 use crate::control::{ControlHandle, PeerOrigin};
@@ -21,8 +19,7 @@
 use crate::generated::process_settings::ProcessSettings;
 use crate::http_server::{HttpServer, ServerLimits};
 use crate::operator::operator_handler;
-use crate::orders::demand_board::{DEMAND_PERIOD, DemandBoard, send_demands};
-use crate::orders::order_keeper::{OrderKeeper, OrderParts, order_sender};
+use crate::orders::demand_board::DemandBoard;
 use crate::peer::FrameHandler;
 use crate::peer::network::{PeerIdentity, PeerNetwork};
 use crate::platform::PlatformClient;
@@ -32,16 +29,16 @@
 use crate::report::refusal_log::RefusalLog;
 use crate::samples::StepService;
 use crate::samples::plain_grader::PlainGrader;
-use crate::samples::weight_keeper::WeightKeeper;
 use crate::samples::weight_release::release_weights;
+use crate::serve::background::{BackgroundParts, start_keepers, usage_parts};
 use crate::serve::operator_parts::operator_parts;
 use crate::serve::retry_functions::retry_policy;
 use crate::traffic::claim_store::ClaimStore;
 use crate::traffic::crash_guard::CrashGuard;
 use crate::traffic::engine_runner::{EngineParts, engine_runner};
 use crate::traffic::retry_policy::RetryPolicy;
-use crate::usage::usage_keeper::{UsageKeeper, UsageParts};
-use crate::usage::{UsageSink, UsageTiming};
+use crate::usage::UsageSink;
+use crate::usage::usage_keeper::UsageKeeper;
 
 /// Threads of the runtime that parses HTTP and runs the peer links.
 const RUNTIME_THREADS: usize = 2;
@@ -52,12 +49,6 @@
 /// Time that a planned stop waits for answers that the store has not taken; without them the outcome is unknown.
 const CLAIM_SETTLE_LIMIT: Duration = Duration::from_secs(10);
 
-/// Author that the configuration log names for placements by the target orders.
-const ORDER_AUTHOR: &str = "target-orders";
-
-/// Period in which background threads look whether they shall end.
-const STOP_POLL: Duration = Duration::from_millis(100);
-
 /// Requests of operators handled at one time.
 const OPERATOR_REQUESTS: usize = 16;
 
@@ -105,44 +96,35 @@
         let dispatch = start_dispatch(DispatchSetup::new(control.clone(), network.sender(), registry.clone()));
         let crashes = crash_guard(&control, &network);
         let usage = UsageKeeper::new(usage_parts(settings, &control, &client, &network));
-        let (permit_frames, crash_frames) = (Arc::clone(&dispatch.frame_handler), Arc::clone(&crashes));
-        let usage_frames = Arc::clone(&usage);
         let board = Arc::new(DemandBoard::default());
-        let demand_frames = Arc::clone(&board);
-        let _ = late_handler.set(Arc::new(move |from, frame| {
-            crash_frames.take_frame(from, &frame);
-            usage_frames.take_frame(&frame);
-            if let PeerFrame::ShardDemand(demand) = &frame {
-                demand_frames.note(&from.host, demand.clone(), boot_time());
-            }
-            permit_frames(from, frame);
-        }));
+        let _ = late_handler.set(frame_router(&dispatch, &crashes, &usage, &board));
         let dispatch = Arc::new(dispatch);
 
         let retries = retry_policy(ChaCha8Rng::seed_from_u64(draw_seed(&mut generator)));
         let engine = engine_parts(&control, &dispatch, retries, crashes, usage.sink());
         let steps = start_steps(&control, &client, &engine, &registry);
         let stopping = Arc::new(AtomicBool::new(false));
-        let weights = WeightKeeper::new(control.clone(), StoreAccess::of_client(&client), Arc::new(boot_time));
-        let orders = OrderKeeper::new(order_parts(settings, &control, &client, &board));
-        let keepers = vec![
-            steps.start_keeper(Arc::clone(&stopping))?,
-            usage.start(Arc::clone(&stopping))?,
-            weights.start(Arc::clone(&stopping))?,
-            orders.start(Arc::clone(&stopping))?,
-            start_demand_sender(&control, &network, &dispatch, &board, Arc::clone(&stopping))?,
-        ];
+        let background = BackgroundParts {
+            settings,
+            control: &control,
+            client: &client,
+            network: &network,
+            dispatch: &dispatch,
+            steps: &steps,
+            usage: &usage,
+            board: &board,
+        };
+        let keepers = Mutex::new(start_keepers(&background, &stopping)?);
         let recorder = Arc::new(BurnRecorder::new(&settings.host, &settings.failure_domain, boot_time()));
         let refusals = Arc::new(RefusalLog::default());
         let claims = ClaimStore::start(client.clone(), Arc::clone(&engine.view), Arc::clone(&engine.clock));
-        let mut parts = gateway_parts(engine, &claims, &steps, &registry, &recorder, &refusals);
-        parts.release_weights = weight_releaser(&control, &client);
+        let releaser = weight_releaser(&control, &client);
+        let parts = gateway_parts(engine, &claims, &steps, releaser, &registry, &recorder, &refusals);
         let callers = HttpServer::start(&runtime, &settings.caller_address, limits(settings), caller_handler(parts))?;
         let operators = operator_parts(settings, &control, &client, registry, recorder, refusals, &dispatch);
         let operator_limits = ServerLimits { requests: OPERATOR_REQUESTS, ..ServerLimits::default() };
         let operators =
             HttpServer::start(&runtime, &settings.operator_address, operator_limits, operator_handler(operators))?;
-        let keepers = Mutex::new(keepers);
         Ok(Self {
             control,
             network,
@@ -219,6 +201,25 @@
     PeerNetwork::start(runtime.handle(), &settings.peer_address, identity, handler)
 }
 
+/// Handler that gives each frame to the parts that know its kind.
+fn frame_router(
+    dispatch: &DispatchHandle,
+    crashes: &Arc<CrashGuard>,
+    usage: &Arc<UsageKeeper>,
+    board: &Arc<DemandBoard>,
+) -> FrameHandler {
+    let permits = Arc::clone(&dispatch.frame_handler);
+    let (crashes, usage, board) = (Arc::clone(crashes), Arc::clone(usage), Arc::clone(board));
+    Arc::new(move |from, frame| {
+        crashes.take_frame(from, &frame);
+        usage.take_frame(&frame);
+        if let PeerFrame::ShardDemand(demand) = &frame {
+            board.note(&from.host, demand.clone(), boot_time());
+        }
+        permits(from, frame);
+    })
+}
+
 fn crash_guard(control: &ControlHandle, network: &PeerNetwork) -> Arc<CrashGuard> {
     let control = control.clone();
     CrashGuard::new(Arc::new(move || control.view()), Arc::new(boot_time), network.sender())
@@ -242,70 +243,6 @@
     }
 }
 
-fn usage_parts(
-    settings: &ProcessSettings,
-    control: &ControlHandle,
-    client: &PlatformClient,
-    network: &PeerNetwork,
-) -> UsageParts {
-    let reports = client.clone();
-    let timing = UsageTiming {
-        window: Duration::from_secs(u64::from(settings.usage_window_seconds)),
-        freeze_delay: Duration::from_secs(u64::from(settings.usage_freeze_seconds)),
-    };
-    UsageParts {
-        control: control.clone(),
-        store: StoreAccess::of_client(client),
-        frames: network.sender(),
-        reports: Arc::new(move |report| reports.report_usage(report)),
-        clock: Arc::new(boot_time),
-        wall: Arc::new(|| SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()),
-        timing,
-    }
-}
-
-fn order_parts(
-    settings: &ProcessSettings,
-    control: &ControlHandle,
-    client: &PlatformClient,
-    board: &Arc<DemandBoard>,
-) -> OrderParts {
-    let (view_source, demands) = (control.clone(), Arc::clone(board));
-    let writer = ConfigurationWriter::new(control.clone(), client.clone());
-    OrderParts {
-        control: control.clone(),
-        store: StoreAccess::of_client(client),
-        demand: Arc::new(move |_| demands.demand(&view_source.view(), boot_time())),
-        orders: order_sender(&settings.platform_url),
-        placements: Arc::new(move |target, out| {
-            let placed = writer.set_placement(PlacementKind::Target, target, out, ORDER_AUTHOR);
-            placed.map(|_| ()).map_err(|error| error.code())
-        }),
-        clock: Arc::new(boot_time),
-    }
-}
-
-fn start_demand_sender(
-    control: &ControlHandle,
-    network: &PeerNetwork,
-    dispatch: &Arc<DispatchHandle>,
-    board: &Arc<DemandBoard>,
-    stop: Arc<AtomicBool>,
-) -> io::Result<JoinHandle<()>> {
-    let (control, frames) = (control.clone(), network.sender());
-    let (dispatch, board) = (Arc::clone(dispatch), Arc::clone(board));
-    std::thread::Builder::new().name("demand-sender".to_owned()).spawn(move || {
-        let mut sent_at = BootTime::ZERO;
-        while !stop.load(Ordering::Relaxed) {
-            if boot_time().saturating_sub(sent_at) >= DEMAND_PERIOD {
-                sent_at = boot_time();
-                send_demands(&control, &frames, &board, dispatch.shard_demands());
-            }
-            std::thread::sleep(STOP_POLL);
-        }
-    })
-}
-
 fn weight_releaser(control: &ControlHandle, client: &PlatformClient) -> WeightReleaser {
     let (control, store) = (control.clone(), StoreAccess::of_client(client));
     Arc::new(move |_, service, version| release_weights(&control, &store, service, version))
@@ -330,6 +267,7 @@
     engine: EngineParts,
     claims: &Arc<ClaimStore>,
     steps: &Arc<StepService>,
+    release_weights: WeightReleaser,
     registry: &Registry,
     recorder: &Arc<BurnRecorder>,
     refusals: &Arc<RefusalLog>,
@@ -342,7 +280,7 @@
         next_batch: Arc::new(move |organisation, trainer, step, cursor, wait| {
             batches.next_batch(organisation, trainer, step, cursor, wait)
         }),
-        release_weights: Arc::new(|_, _, _| Err(ResultCode::NotFound)),
+        release_weights,
         registry: registry.clone(),
         objectives: Arc::clone(recorder),
         refusals: Arc::clone(refusals),
