--- a/standins/src/experiment.rs
+++ b/standins/src/experiment.rs
@@ -17,6 +17,8 @@
 pub mod fault_script;
 pub mod measures;
 pub mod plots;
+pub mod policy_router;
+mod request_state;
 pub mod rule_router;
 pub mod simulation;
 pub mod study;
--- a/standins/src/experiment/core_router.rs
+++ b/standins/src/experiment/core_router.rs
@@ -16,7 +16,7 @@
 use camphorspring::generated::services_text::{OrganisationEntry, ServiceEntry, ServiceKind, TargetEntry, TargetTier};
 use camphorspring::prelude::SHARE_SETTLE;
 
-use crate::experiment::simulation::{RouteAsk, RouteResult};
+use crate::experiment::policy_router::{RouteAsk, RouteResult};
 use crate::experiment::user_workload::{EngineSpec, SERVICE_NAMES, UserWorkload};
 
 /// Start of the simulation on the hosts' clocks; shares settle before it.
--- a/standins/src/experiment/rule_router.rs
+++ b/standins/src/experiment/rule_router.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use crate::experiment::simulation::{RouteAsk, RouteResult};
+use crate::experiment::policy_router::{RouteAsk, RouteResult};
 use crate::experiment::user_workload::{SERVICE_NAMES, UserWorkload};
 
 /// Rule of a baseline.
--- a/standins/src/experiment/simulation.rs
+++ b/standins/src/experiment/simulation.rs
@@ -13,12 +13,14 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::experiment::clients::{PromptShape, TrainerState, group_prompt, next_gap, page_prompt};
-use crate::experiment::core_router::{CoreRouter, permit_report};
+use crate::experiment::core_router::CoreRouter;
 use crate::experiment::engine_model::{EngineModel, EngineProgress, EngineWork, LostWork};
 use crate::experiment::fault_script::{
     EngineChange, FAULT_END, FAULT_START, FLOOD_ORGANISATION, FaultScript, HIT_DOMAIN, RUN_TIME, ScriptedChange,
 };
 use crate::experiment::measures::{PAGE_LIMIT, RunCounters, RunOutcome};
+use crate::experiment::policy_router::{PolicyRouter, RouteAsk};
+use crate::experiment::request_state::{RequestOwner, RequestPhase, RequestState, SimEvent};
 use crate::experiment::rule_router::{RouteRule, RuleRouter};
 use crate::experiment::user_workload::{PAGES, SCORING, UserWorkload};
 
@@ -64,93 +66,6 @@
     Rule(RouteRule),
 }
 
-/// Request for a target.
-#[derive(Debug, Clone)]
-pub struct RouteAsk {
-    /// Request.
-    pub request: usize,
-    /// Entry host.
-    pub host: usize,
-    /// Organisation.
-    pub organisation: usize,
-    /// Service.
-    pub service: usize,
-    /// Most tokens.
-    pub most_tokens: u32,
-    /// Prefix hashes.
-    pub prefixes: Vec<u64>,
-    /// Whether only firm targets will do.
-    pub firm_only: bool,
-    /// Deadline of the step.
-    pub deadline: Option<Duration>,
-    /// Engines that failed the request.
-    pub excluded: Vec<usize>,
-    /// Longest wait.
-    pub wait: Duration,
-}
-
-/// A settled request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RouteResult {
-    /// Request.
-    pub request: usize,
-    /// Engine; `None` when refused.
-    pub engine: Option<usize>,
-}
-
-#[derive(Debug)]
-pub(super) enum PolicyRouter {
-    Core(Box<CoreRouter>),
-    Rule(Box<RuleRouter>),
-}
-
-/// Who wants a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum RequestOwner {
-    Single,
-    Sample { trainer: usize, step: u64, sample: usize },
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum RequestPhase {
-    Waiting,
-    Running(usize),
-    Pausing,
-    Ended,
-}
-
-#[derive(Debug, Clone)]
-pub(super) struct RequestState {
-    pub owner: RequestOwner,
-    pub organisation: usize,
-    pub service: usize,
-    pub tokens: u32,
-    pub done: u32,
-    pub prompt: PromptShape,
-    pub created_at: Duration,
-    pub granted_at: Duration,
-    pub first_token: Duration,
-    pub phase: RequestPhase,
-    pub tries: u32,
-    pub firm_only: bool,
-    pub deadline: Option<Duration>,
-    pub excluded: Vec<usize>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum SimEvent {
-    Engine(usize, u64),
-    Tick,
-    Report,
-    Page(usize),
-    Scoring(usize),
-    Flood,
-    Training(usize),
-    Change(usize),
-    Retry(usize),
-    GiveUp(usize),
-}
-
 /// One run.
 pub struct Simulation {
     pub(super) now: Duration,
@@ -615,71 +530,3 @@
         self.counters.call_time += start.elapsed();
     }
 }
-
-impl PolicyRouter {
-    fn submit(&mut self, now: Duration, ask: &RouteAsk) {
-        match self {
-            Self::Core(router) => router.submit(now, ask),
-            Self::Rule(router) => router.submit(now, ask),
-        }
-    }
-
-    fn finish(
-        &mut self,
-        now: Duration,
-        request: usize,
-        outcome: PermitOutcome,
-        tokens: u32,
-        first_token: Duration,
-        total: Duration,
-    ) {
-        match self {
-            Self::Core(router) => router.finish(now, request, permit_report(outcome, tokens, first_token, total)),
-            Self::Rule(router) => {
-                let first_token = (outcome == PermitOutcome::Finished).then_some(first_token);
-                router.finish(now, request, tokens, first_token);
-            }
-        }
-    }
-
-    fn tick(&mut self, now: Duration) {
-        match self {
-            Self::Core(router) => router.tick(now),
-            Self::Rule(router) => router.tick(now),
-        }
-    }
-
-    fn report(&mut self, now: Duration, engine: usize, load: &EngineLoad, events: &[CacheEvent]) {
-        if let Self::Core(router) = self {
-            router.report_load(now, engine, load);
-            router.report_events(now, engine, events);
-        }
-    }
-
-    fn place(&mut self, now: Duration, engine: usize, is_in: bool) {
-        match self {
-            Self::Core(router) => router.place(engine, is_in),
-            Self::Rule(router) => router.place(now, engine, is_in),
-        }
-    }
-
-    fn next_time(&self) -> Option<Duration> {
-        match self {
-            Self::Core(router) => router.next_time(),
-            Self::Rule(_) => None,
-        }
-    }
-
-    fn deliver(&mut self, now: Duration) {
-        if let Self::Core(router) = self {
-            router.deliver(now);
-        }
-    }
-
-    fn take_results(&mut self) -> Vec<RouteResult> {
-        match self {
-            Self::Core(router) => router.take_results(),
-            Self::Rule(router) => router.take_results(),
-        }
-    }
-}
--- a/standins/src/experiment/trainer_events.rs
+++ b/standins/src/experiment/trainer_events.rs
@@ -5,7 +5,8 @@
 use camphorspring::policy::straggler_plan::{SampleProgress, second_copies};
 
 use crate::experiment::clients::{STEP_WINDOW, StepSample, TrainerState};
-use crate::experiment::simulation::{RequestOwner, RequestPhase, RequestState, SimEvent, Simulation};
+use crate::experiment::request_state::{RequestOwner, RequestPhase, RequestState, SimEvent};
+use crate::experiment::simulation::Simulation;
 use crate::experiment::user_workload::SCORING;
 
 /// Time of a token that a sample is expected to need, for second copies.
