Let one piece of code serve where two said the same

Cause: a read of the whole change found logic that stood twice and functions that nothing called. Change: the wait before a retry, the bound of retry delays, milliseconds of a duration, readiness, hexadecimal text, row conditions, sums of burn minutes and the report of settings errors each stand once. The burn command asks other hosts through the client it has. Five functions and a field without a caller are gone.

--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -53,6 +53,12 @@
         Self { base_url, token: token.to_owned(), agent: http_agent(CONNECT_LIMIT, ANSWER_LIMIT) }
     }
 
+    /// Client of another host with the same token.
+    #[must_use]
+    pub fn for_host(&self, operator_address: &str) -> Self {
+        Self::new(&format!("http://{operator_address}"), &self.token)
+    }
+
     /// Reads `path`.
     ///
     /// # Errors
--- a/src/admin/commands.rs
+++ b/src/admin/commands.rs
@@ -95,7 +95,8 @@
         .map_err(|error| CommandFault { code: ResultCode::Usage, message: format!("{}: {error}", path.display()) })
 }
 
-fn text_fault(code: ResultCode, file: &Path, errors: &[TextError]) -> CommandFault {
+/// Fault with one line for each error of a file.
+pub(crate) fn text_fault(code: ResultCode, file: &Path, errors: &[TextError]) -> CommandFault {
     let lines: Vec<String> = errors.iter().map(|error| format!("{}: {error}", file.display())).collect();
     CommandFault { code, message: lines.join("\n") }
 }
@@ -256,11 +257,10 @@
 fn report_burn(arguments: &Camphorspring, command: &Burn) -> CommandResult {
     let asked = client(arguments)?;
     let status: StatusAnswer = asked.get("/operator/status")?.body;
-    let token = arguments.token.clone().or_else(|| env::var("CAMPHORSPRING_TOKEN").ok()).unwrap_or_default();
     let mut answers: Vec<BurnAnswer> = Vec::new();
     let mut silent: Vec<HostId> = Vec::new();
     for host in &status.hosts {
-        match host_burn(&asked, &status.host, host, &token) {
+        match host_burn(&asked, &status.host, host) {
             Ok(answer) => answers.push(answer),
             Err(_) => silent.push(host.host.clone()),
         }
@@ -276,7 +276,6 @@
     asked: &OperatorClient,
     asked_host: &str,
     host: &crate::generated::caller_messages::HostView,
-    token: &str,
 ) -> Result<BurnAnswer, CommandFault> {
     if host.host == asked_host {
         return Ok(asked.get("/operator/burn")?.body);
@@ -284,6 +283,5 @@
     if host.operator_address.is_empty() {
         return Err(CommandFault::of(ResultCode::NotFound));
     }
-    let client = OperatorClient::new(&format!("http://{}", host.operator_address), token);
-    Ok(client.get("/operator/burn")?.body)
+    Ok(asked.for_host(&host.operator_address).get("/operator/burn")?.body)
 }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -14,6 +14,12 @@
 /// Function that reads the time; tests pass their own.
 pub type TimeSource = Arc<dyn Fn() -> BootTime + Send + Sync>;
 
+/// Whole milliseconds of a duration.
+#[must_use]
+pub fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Reads the boot-time clock.
 #[must_use]
 pub fn boot_time() -> BootTime {
--- a/src/control/control_view.rs
+++ b/src/control/control_view.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Whether the load balancer may send new requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_full && !self.is_leaving
+    }
+
     /// Whether keyed work may be admitted.
     #[must_use]
     pub fn is_fresh(&self, now: BootTime) -> bool {
--- a/src/control/store_call.rs
+++ b/src/control/store_call.rs
@@ -1,6 +1,7 @@
 //! Calls to the platform's store, made by helper threads: commands go out, reports come back as events.
 
 use crate::generated::platform_messages::{HostRecord, RowCheck, RowWrite, TableRow, TransactionAnswer};
+pub use crate::platform::store_access::row_check;
 use crate::platform::{PlatformClient, PlatformFault};
 use crate::prelude::*;
 
@@ -177,12 +178,6 @@
     }
 }
 
-/// Condition that a row has a version; version 0 requires absence.
-#[must_use]
-pub fn row_check(table: &str, key: &str, version: u64) -> RowCheck {
-    RowCheck { table: table.to_owned(), key: key.to_owned(), version }
-}
-
 /// Write of a row whose value is the JSON text of `value`.
 #[must_use]
 pub fn row_write(table: &str, key: &str, value: &impl serde::Serialize) -> RowWrite {
--- a/src/dispatch/entry_ask.rs
+++ b/src/dispatch/entry_ask.rs
@@ -64,10 +64,10 @@
             expected_tokens: self.expected_tokens,
             prefix_hashes: self.prefix_hashes.clone(),
             firm_only: self.ask.firm_only,
-            deadline_ms: self.ask.deadline.map(|deadline| to_millis(deadline.saturating_sub(now))),
+            deadline_ms: self.ask.deadline.map(|deadline| whole_millis(deadline.saturating_sub(now))),
             excluded_targets: self.ask.excluded_targets.clone(),
             least_version: self.ask.least_version,
-            wait_ms: to_millis(self.expires_at.saturating_sub(now)),
+            wait_ms: whole_millis(self.expires_at.saturating_sub(now)),
         }
     }
 
@@ -109,7 +109,3 @@
 pub(super) fn present_home(view: &ControlView, held: &HeldPermit) -> Option<HostId> {
     shard_home(view, &held.service, &held.place.failure_domain, held.place.shard)
 }
-
-fn to_millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/dispatch/entry_state.rs
+++ b/src/dispatch/entry_state.rs
@@ -209,11 +209,6 @@
         self.pending.len()
     }
 
-    /// Targets that this host holds permits for.
-    pub fn held_targets(&self) -> impl Iterator<Item = &str> {
-        self.held.values().map(|held| held.target.as_str())
-    }
-
     /// Plans a new round over all homes and asks the first one.
     pub(super) fn plan_and_ask(
         &mut self,
--- a/src/dispatch/home_shard.rs
+++ b/src/dispatch/home_shard.rs
@@ -206,7 +206,7 @@
     fn add(&mut self, now: BootTime, tokens: u32) {
         let elapsed = now.saturating_sub(self.period_start);
         if elapsed >= RATE_PERIOD {
-            let millis = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX).max(1);
+            let millis = whole_millis(elapsed).max(1);
             let rate = self.tokens * 1000 / millis;
             self.rate = if self.rate == 0 { rate } else { u64::midpoint(self.rate, rate) };
             self.tokens = 0;
--- a/src/dispatch/home_state.rs
+++ b/src/dispatch/home_state.rs
@@ -302,7 +302,7 @@
         let position = self.shards.binary_search_by(|shard| shard.name.cmp(&name)).ok();
         let wait = position
             .map(|position| self.shards[position].expected_wait(now, &request.organisation, weight, &self.shares));
-        let expected_wait_ms = wait.map(to_millis);
+        let expected_wait_ms = wait.map(whole_millis);
         let grant = PermitGrant { ticket: key.ticket, result_code: 0, target: None, expected_wait_ms, home: None };
         HomeAnswer { to: key.clone(), grant }
     }
@@ -372,16 +372,12 @@
 }
 
 fn refused_answer(to: AskKey, refusal: HomeRefusal) -> HomeAnswer {
-    let expected_wait_ms = refusal.expected_wait.map(to_millis);
+    let expected_wait_ms = refusal.expected_wait.map(whole_millis);
     let (result_code, home) = (refusal.code.number(), refusal.home);
     let grant = PermitGrant { ticket: to.ticket, result_code, target: None, expected_wait_ms, home };
     HomeAnswer { to, grant }
 }
 
-fn to_millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 pub(super) fn moved_answer(to: AskKey, home: Option<HostId>) -> HomeAnswer {
     refused_answer(to, HomeRefusal { home, ..ResultCode::NotReady.into() })
 }
--- a/src/dispatch/home_upkeep.rs
+++ b/src/dispatch/home_upkeep.rs
@@ -97,14 +97,6 @@
         }
     }
 
-    /// Last cache event of a target.
-    #[must_use]
-    pub fn last_event(&mut self, target: &str) -> Option<u64> {
-        let shard = self.shard_of_target(target)?;
-        let handle = shard.target_mut(target)?.handle;
-        shard.prefixes.last_sequence(handle)
-    }
-
     /// Ends asks of dead or silent hosts and asks whose wait is over, and grants what became possible.
     pub fn tick(&mut self, view: &Arc<ControlView>, now: BootTime) -> Vec<HomeAnswer> {
         let mut answers = self.refresh(view, now);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -192,8 +192,7 @@
         ["health"] => allow(method, &["GET", "HEAD"]).map(|()| text_reply("ok\n")),
         ["ready"] => {
             allow(method, &["GET", "HEAD"])?;
-            check_ready(&context.view)?;
-            if context.view.is_leaving { Err(ResultCode::NotReady) } else { Ok(text_reply("ready\n")) }
+            if context.view.is_ready() { Ok(text_reply("ready\n")) } else { Err(ResultCode::NotReady) }
         }
         ["v1", rest @ ..] => {
             check_ready(&context.view)?;
--- a/src/gateway/claimed_routes.rs
+++ b/src/gateway/claimed_routes.rs
@@ -7,6 +7,7 @@
 use crate::gateway::{Answered, DEADLINE_LIMIT, RequestContext};
 use crate::generated::caller_messages::{RequestOutcome, RequestOutcomeState};
 use crate::http_server::{HeaderPair, HttpReply, HttpRequest};
+use crate::peer::frame_codec::to_hex;
 use crate::prelude::*;
 use crate::traffic::claim_state::{ClaimState, StoredAnswer, StoredHeader, TargetEnd};
 use crate::traffic::claim_store::ClaimRequest;
@@ -53,7 +54,7 @@
         digest.update((field.len() as u64).to_be_bytes());
         digest.update(field);
     }
-    hexadecimal(&digest.finalize())
+    to_hex(&digest.finalize())
 }
 
 fn run_claimed(context: &RequestContext<'_>, run: &PlainRun, key_id: Option<KeyId>) -> TargetEnd {
@@ -74,7 +75,7 @@
     let headers = answer.headers.into_iter().map(|pair| StoredHeader { name: pair.name, value: pair.value });
     let (body, is_hex) = match String::from_utf8(answer.body) {
         Ok(text) => (text, false),
-        Err(error) => (hexadecimal(error.as_bytes()), true),
+        Err(error) => (to_hex(error.as_bytes()), true),
     };
     StoredAnswer { status: answer.status, headers: headers.collect(), body, is_hex }
 }
@@ -86,15 +87,6 @@
     plain_reply(PlainAnswer { status: answer.status, headers: headers.collect(), body })
 }
 
-fn hexadecimal(bytes: &[u8]) -> String {
-    use std::fmt::Write as _;
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
-}
-
 fn from_hexadecimal(text: &str) -> Vec<u8> {
     let pairs = text.as_bytes().chunks_exact(2);
     pairs.filter_map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()).collect()
--- a/src/gateway/request_trace.rs
+++ b/src/gateway/request_trace.rs
@@ -53,7 +53,7 @@
         log::info!(
             request_id = self.request_id.as_str(), organisation = self.organisation.as_str(),
             service = self.service.as_str(), code = code.number(), status = status,
-            latency_ms = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+            latency_ms = whole_millis(latency);
             "request_finished"
         );
         self.gateway.metrics.note_request(&self.service, &self.organisation, code, latency);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -59,7 +59,7 @@
         self.live_members.set(live as f64);
         self.withdrawn_keys.set(view.withdrawn.len() as f64);
         self.owned_resources.set(view.owned.len() as f64);
-        self.is_ready.set(f64::from(u8::from(view.is_full && !view.is_leaving)));
+        self.is_ready.set(f64::from(u8::from(view.is_ready())));
     }
 }
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -95,7 +95,7 @@
 /// Reply to the load balancer: ready hosts get new requests.
 #[must_use]
 pub fn readiness(view: &crate::control::ControlView) -> HttpReply {
-    if view.is_full && !view.is_leaving {
+    if view.is_ready() {
         HttpReply::whole(200, "text/plain", b"ready\n".to_vec())
     } else {
         error_reply(ResultCode::NotReady, "")
--- a/src/operator/status_view.rs
+++ b/src/operator/status_view.rs
@@ -53,14 +53,14 @@
 /// State of this host for `hosts`, `targets` and `leases`.
 #[must_use]
 pub fn status_answer(view: &ControlView, targets: Vec<TargetView>, now: BootTime) -> StatusAnswer {
-    let age = view.view_age(now).map_or(u64::MAX, milliseconds);
+    let age = view.view_age(now).map_or(u64::MAX, whole_millis);
     StatusAnswer {
         host: view.host.clone(),
         failure_domain: view.failure_domain.clone(),
         incarnation: format!("{:016x}", view.incarnation),
         configuration_version: view.configuration.version,
         view_age_ms: age,
-        ready: view.is_full && !view.is_leaving,
+        ready: view.is_ready(),
         hosts: host_views(view, now),
         targets,
         resources: view.owned.iter().map(|owned| owned.name.clone()).collect(),
@@ -112,11 +112,7 @@
         failure_domain: failure_domain.to_owned(),
         state: state.to_owned(),
         incarnation: format!("{:016x}", member.incarnation),
-        heartbeat_age_ms: milliseconds(now.saturating_sub(member.heard_at)),
+        heartbeat_age_ms: whole_millis(now.saturating_sub(member.heard_at)),
         operator_address: operator_address.to_owned(),
     }
 }
-
-fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/orders/demand_board.rs
+++ b/src/orders/demand_board.rs
@@ -22,7 +22,6 @@
 
 #[derive(Debug, Clone)]
 struct HeldDemand {
-    home: HostId,
     heard_at: BootTime,
     demand: ShardDemand,
 }
@@ -35,11 +34,11 @@
 
 impl DemandBoard {
     /// Takes the figures of a shard; those of a former home are replaced.
-    pub fn note(&self, home: &str, demand: ShardDemand, now: BootTime) {
+    pub fn note(&self, demand: ShardDemand, now: BootTime) {
         let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         held.retain(|known| now.saturating_sub(known.heard_at) < DEMAND_EXPIRY);
         held.retain(|known| (&known.demand.service, known.demand.shard) != (&demand.service, demand.shard));
-        held.push(HeldDemand { home: home.to_owned(), heard_at: now, demand });
+        held.push(HeldDemand { heard_at: now, demand });
     }
 
     /// Demand as far as it is known.
@@ -52,13 +51,6 @@
         }
         demand
     }
-
-    /// Hosts whose figures are held, for tests and logs.
-    #[must_use]
-    pub fn homes(&self) -> Vec<HostId> {
-        let held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
-        held.iter().map(|known| known.home.clone()).collect()
-    }
 }
 
 fn add_shard(demand: &mut DomainDemand, shard: &ShardDemand, view: &ControlView) {
@@ -88,7 +80,7 @@
     for demand in demands {
         for owner in &owners {
             if **owner == view.host {
-                board.note(&view.host, demand.clone(), boot_time());
+                board.note(demand.clone(), boot_time());
             } else {
                 frames(owner, PeerFrame::ShardDemand(demand.clone()));
             }
--- a/src/policy/fair_queue.rs
+++ b/src/policy/fair_queue.rs
@@ -203,12 +203,6 @@
         self.charge(lane, i64::from(real) - i64::from(expected));
     }
 
-    /// Charges tokens that were granted elsewhere, such as before this host became the home.
-    pub fn charge_tokens(&mut self, organisation: &str, tokens: u32) {
-        let lane = self.lane(organisation);
-        self.charge(lane, i64::from(tokens));
-    }
-
     /// Wait that a new item of the organisation must expect when the shard serves `tokens_per_second`.
     ///
     /// The organisation's own backlog is served at its weighted share among those that wait.
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -63,14 +63,19 @@
     }
 }
 
-/// Wait before a retry: exponential with full jitter; `random` is uniform over all values.
+/// Longest wait before a retry, which grows exponentially; the first retry is attempt 0.
 #[must_use]
-pub fn retry_delay(attempt: u32, random: u64) -> Duration {
+pub fn delay_bound(attempt: u32) -> Duration {
     /// Longest wait before the first retry.
     const FIRST_DELAY: Duration = Duration::from_millis(50);
     /// Longest wait before any retry.
     const LONGEST_DELAY: Duration = Duration::from_secs(2);
-    let longest = FIRST_DELAY.saturating_mul(1 << attempt.min(10)).min(LONGEST_DELAY);
-    let micros = u64::try_from(longest.as_micros()).unwrap_or(u64::MAX);
+    FIRST_DELAY.saturating_mul(1 << attempt.min(10)).min(LONGEST_DELAY)
+}
+
+/// Wait before a retry: exponential with full jitter; `random` is uniform over all values.
+#[must_use]
+pub fn retry_delay(attempt: u32, random: u64) -> Duration {
+    let micros = u64::try_from(delay_bound(attempt).as_micros()).unwrap_or(u64::MAX);
     Duration::from_micros(random % (micros + 1))
 }
--- a/src/report/burn_plot.rs
+++ b/src/report/burn_plot.rs
@@ -5,7 +5,7 @@
 use plotters::prelude::*;
 
 use super::burn_recorder::KEPT_MINUTES;
-use super::burn_report::BurnReport;
+use super::burn_report::{BurnReport, add_minute};
 use crate::generated::caller_messages::MinuteCount;
 
 /// Width and height of the plot in pixels.
@@ -36,13 +36,7 @@
         let minutes = report.lines.iter().filter(|line| line.service == service).flat_map(|line| &line.minutes);
         let mut sums: Vec<MinuteCount> = Vec::new();
         for minute in minutes {
-            match sums.binary_search_by_key(&minute.age_minutes, |sum| sum.age_minutes) {
-                Ok(position) => {
-                    sums[position].good += minute.good;
-                    sums[position].bad += minute.bad;
-                }
-                Err(position) => sums.insert(position, minute.clone()),
-            }
+            add_minute(&mut sums, minute);
         }
         let points =
             sums.iter().map(|sum| (-f64::from(sum.age_minutes), sum.bad as f64 / (sum.good + sum.bad).max(1) as f64));
--- a/src/report/burn_report.rs
+++ b/src/report/burn_report.rs
@@ -80,13 +80,18 @@
         }
     }
     for minute in &entry.minutes {
-        match known.minutes.binary_search_by_key(&minute.age_minutes, |sum| sum.age_minutes) {
-            Ok(position) => {
-                known.minutes[position].good += minute.good;
-                known.minutes[position].bad += minute.bad;
-            }
-            Err(position) => known.minutes.insert(position, minute.clone()),
+        add_minute(&mut known.minutes, minute);
+    }
+}
+
+/// Adds the counts of one minute to sums that are sorted by age.
+pub(super) fn add_minute(sums: &mut Vec<MinuteCount>, minute: &MinuteCount) {
+    match sums.binary_search_by_key(&minute.age_minutes, |sum| sum.age_minutes) {
+        Ok(position) => {
+            sums[position].good += minute.good;
+            sums[position].bad += minute.bad;
         }
+        Err(position) => sums.insert(position, minute.clone()),
     }
 }
 
--- a/src/report/refusal_log.rs
+++ b/src/report/refusal_log.rs
@@ -46,7 +46,7 @@
         let refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
         let records = refusals.iter().rev().map(|refusal| RefusalRecord {
             request_id: refusal.request_id.clone(),
-            age_ms: u64::try_from(now.saturating_sub(refusal.at).as_millis()).unwrap_or(u64::MAX),
+            age_ms: whole_millis(now.saturating_sub(refusal.at)),
             code: refusal.code.number(),
             name: refusal.code.entry().name.to_owned(),
             organisation: refusal.organisation.clone(),
--- a/src/samples/shard_keeper.rs
+++ b/src/samples/shard_keeper.rs
@@ -58,12 +58,6 @@
         }
     }
 
-    /// Shards that this host runs now.
-    #[must_use]
-    pub fn running_shards(&self) -> usize {
-        self.lock_wishes().wishes().iter().filter(|wish| wish.is_running).count()
-    }
-
     fn lock_wishes(&self) -> std::sync::MutexGuard<'_, ShardWishes> {
         self.wishes.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,7 +13,7 @@
 use signal_hook::iterator::Signals;
 
 use crate::admin::client::CommandFault;
-use crate::admin::commands::CommandOutput;
+use crate::admin::commands::{CommandOutput, text_fault};
 use crate::generated::process_settings::{ProcessSettings, ProcessSettingsLogLevel};
 use crate::options::process_settings::load_settings;
 use crate::prelude::*;
@@ -28,10 +28,8 @@
 ///
 /// The settings are invalid, or an address cannot be bound.
 pub fn serve_host(settings_file: &Path) -> Result<CommandOutput, CommandFault> {
-    let settings = load_settings(settings_file).map_err(|errors| {
-        let lines: Vec<String> = errors.iter().map(|error| format!("{}: {error}", settings_file.display())).collect();
-        CommandFault { code: ResultCode::SettingsInvalid, message: lines.join("\n") }
-    })?;
+    let settings = load_settings(settings_file)
+        .map_err(|errors| text_fault(ResultCode::SettingsInvalid, settings_file, &errors))?;
     crate::logs::start_logs(&settings.host, log_level(&settings));
     let start_fault = |error: std::io::Error| CommandFault { code: ResultCode::NotReady, message: error.to_string() };
     // Registered before anything starts, so that an early signal is not lost.
--- a/src/serve/host_parts.rs
+++ b/src/serve/host_parts.rs
@@ -214,7 +214,7 @@
         crashes.take_frame(from, &frame);
         usage.take_frame(&frame);
         if let PeerFrame::ShardDemand(demand) = &frame {
-            board.note(&from.host, demand.clone(), boot_time());
+            board.note(demand.clone(), boot_time());
         }
         permits(from, frame);
     })
--- a/src/traffic/claim_store.rs
+++ b/src/traffic/claim_store.rs
@@ -157,7 +157,7 @@
                 state: ClaimState::Claimed,
                 host: view.host.clone(),
                 incarnation: view.incarnation,
-                answer_limit_ms: u64::try_from(request.answer_limit.as_millis()).unwrap_or(u64::MAX),
+                answer_limit_ms: whole_millis(request.answer_limit),
                 answer: None,
             },
             token: guard.token.clone(),
--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -15,6 +15,9 @@
 use crate::traffic::{EngineResult, EngineRun, EngineRunner, PieceSink};
 use crate::usage::{UsageEvent, UsageSink};
 
+/// Longest sleep between two looks at whether a waiting run shall stop.
+const WAIT_SLICE: Duration = Duration::from_millis(100);
+
 /// Function that gives the present control view.
 pub type ViewSource = Arc<dyn Fn() -> Arc<ControlView> + Send + Sync>;
 
@@ -41,6 +44,27 @@
     pub crashes: Arc<CrashGuard>,
 }
 
+impl EngineParts {
+    /// Sleeps until the next attempt may start, in slices, so that a failed check ends the wait.
+    pub(super) fn wait_before_retry<E>(
+        &self,
+        attempts: u32,
+        fingerprint: &Fingerprint,
+        check_stop: impl Fn() -> Result<(), E>,
+    ) -> Result<(), E> {
+        let delay = self.retries.delay(attempts).max(self.crashes.settle_time(fingerprint));
+        let until = (self.clock)() + delay;
+        loop {
+            check_stop()?;
+            let left = until.saturating_sub((self.clock)());
+            if left.is_zero() {
+                return Ok(());
+            }
+            std::thread::sleep(left.min(WAIT_SLICE));
+        }
+    }
+}
+
 /// Builds a runner that ends a run at its deadline and when its key is withdrawn.
 #[must_use]
 pub fn engine_runner(parts: EngineParts) -> EngineRunner {
@@ -339,18 +363,8 @@
         }
     }
 
-    /// Sleeps in slices, so that a withdrawn key or the deadline ends the wait.
     fn wait_before_retry(&self) -> Result<(), ResultCode> {
-        let delay = self.parts.retries.delay(self.attempts).max(self.parts.crashes.settle_time(&self.fingerprint));
-        let until = (self.parts.clock)() + delay;
-        loop {
-            self.check_stop()?;
-            let left = until.saturating_sub((self.parts.clock)());
-            if left.is_zero() {
-                return Ok(());
-            }
-            std::thread::sleep(left.min(Duration::from_millis(100)));
-        }
+        self.parts.wait_before_retry(self.attempts, &self.fingerprint, || self.check_stop())
     }
 
     fn charge(&self, is_complete: bool) {
--- a/src/traffic/plain_runner.rs
+++ b/src/traffic/plain_runner.rs
@@ -224,16 +224,7 @@
     }
 
     fn wait_before_retry(&self) -> Result<(), PlainEnd> {
-        let delay = self.parts.retries.delay(self.attempts).max(self.parts.crashes.settle_time(&self.fingerprint));
-        let until = (self.parts.clock)() + delay;
-        loop {
-            self.check_stop()?;
-            let left = until.saturating_sub((self.parts.clock)());
-            if left.is_zero() {
-                return Ok(());
-            }
-            std::thread::sleep(left.min(Duration::from_millis(100)));
-        }
+        self.parts.wait_before_retry(self.attempts, &self.fingerprint, || self.check_stop())
     }
 }
 
--- a/src/traffic/retry_policy.rs
+++ b/src/traffic/retry_policy.rs
@@ -2,14 +2,9 @@
 
 use std::fmt;
 
+use crate::policy::retry_budget::delay_bound;
 use crate::prelude::*;
 
-/// Delay bound of the first retry.
-const FIRST_DELAY: Duration = Duration::from_millis(50);
-
-/// Longest delay bound of a retry.
-const LONGEST_DELAY: Duration = Duration::from_secs(2);
-
 /// Attempts of one request at most, whatever the budget allows.
 pub const ATTEMPT_LIMIT: u32 = 6;
 
@@ -54,8 +49,6 @@
     /// Delay before retry number `retry`, starting at 1: exponential with full jitter.
     #[must_use]
     pub fn delay(&self, retry: u32) -> Duration {
-        let doublings = retry.saturating_sub(1).min(16);
-        let bound = FIRST_DELAY.saturating_mul(1 << doublings).min(LONGEST_DELAY);
-        bound.mul_f64((self.random)().clamp(0.0, 1.0))
+        delay_bound(retry.saturating_sub(1)).mul_f64((self.random)().clamp(0.0, 1.0))
     }
 }
--- a/src/usage/usage_ledger.rs
+++ b/src/usage/usage_ledger.rs
@@ -149,6 +149,6 @@
         service: figure.service.clone(),
         requests: figure.requests,
         tokens: figure.tokens,
-        target_ms: u64::try_from(figure.target_time.as_millis()).unwrap_or(u64::MAX),
+        target_ms: whole_millis(figure.target_time),
     }
 }
