--- a/src/admin/commands.rs
+++ b/src/admin/commands.rs
@@ -42,7 +42,7 @@
 /// The command failed; the fault has its result code and message.
 pub fn run_command(arguments: &Camphorspring) -> CommandResult {
     match &arguments.subcommand {
-        CamphorspringCmd::Serve(_) => Err(CommandFault::of(ResultCode::Usage)),
+        CamphorspringCmd::Serve(_) | CamphorspringCmd::ServePlatform(_) => Err(CommandFault::of(ResultCode::Usage)),
         CamphorspringCmd::Check(command) => check_services(arguments, &command.file),
         CamphorspringCmd::CheckSettings(command) => check_settings(arguments, &command.file),
         CamphorspringCmd::Codes(_) => Ok(list_codes(arguments)),
@@ -96,7 +96,8 @@
 }
 
 /// Fault with one line for each error of a file.
-pub(crate) fn text_fault(code: ResultCode, file: &Path, errors: &[TextError]) -> CommandFault {
+#[must_use]
+pub fn text_fault(code: ResultCode, file: &Path, errors: &[TextError]) -> CommandFault {
     let lines: Vec<String> = errors.iter().map(|error| format!("{}: {error}", file.display())).collect();
     CommandFault { code, message: lines.join("\n") }
 }
--- /dev/null
+++ b/src/duties/usage_report.rs
@@ -0,0 +1,77 @@
+//! Usage of a window: each host writes its counts, the holder of the duties freezes the sum and hands it in.
+//!
+//! The sum is frozen in the store before it is handed in, so that every report of a window has the same figures,
+//! whoever sends it.
+
+use crate::duties::usage_counter::{OrganisationCount, WindowNumber, add_count};
+use crate::prelude::*;
+use crate::row_store::{
+    PartTransaction, RowContent, RowStore, StoreCallFault, StoredRow, TransactionResult, VersionCheck,
+};
+
+/// Table of the counts of hosts.
+pub const COUNT_TABLE: &str = "usage_counts";
+
+/// Table of frozen sums.
+pub const REPORT_TABLE: &str = "usage_reports";
+
+fn window_key(window: WindowNumber) -> String {
+    format!("{window:016}")
+}
+
+/// Writes the counts of one host for a window; a repeat writes the same row.
+///
+/// # Errors
+///
+/// The store gave no answer.
+pub async fn write_counts(
+    store: &RowStore,
+    host: &str,
+    incarnation: Incarnation,
+    window: WindowNumber,
+    counts: &[OrganisationCount],
+) -> Result<(), StoreCallFault> {
+    let key = format!("{}/{host}-{incarnation:016x}", window_key(window));
+    let value = serde_json::to_vec(counts).unwrap_or_default();
+    let writes = vec![RowContent { table: COUNT_TABLE, key, value }];
+    (store.transact)(PartTransaction { writes, ..PartTransaction::default() }).await?;
+    Ok(())
+}
+
+/// Sum of the counts of all hosts; rows that cannot be read are logged and left out.
+#[must_use]
+pub fn sum_counts(rows: &[StoredRow]) -> Vec<OrganisationCount> {
+    let mut sums = Vec::new();
+    for row in rows {
+        let value = row.value.as_deref().unwrap_or_default();
+        match serde_json::from_slice::<Vec<OrganisationCount>>(value) {
+            Ok(counts) => counts.iter().for_each(|count| add_count(&mut sums, &count.organisation, count.count)),
+            Err(error) => log::warn!(row = row.key, error = error.to_string(); "usage_row_unreadable"),
+        }
+    }
+    sums
+}
+
+/// Freezes the figures of a window, or returns those that are frozen already.
+///
+/// # Errors
+///
+/// The store gave no answer.
+pub async fn freeze_window(store: &RowStore, window: WindowNumber) -> Result<Vec<OrganisationCount>, StoreCallFault> {
+    let key = window_key(window);
+    let (from, to) = (format!("{key}/"), format!("{key}0"));
+    let (rows, _) = store.read_part(COUNT_TABLE, "", Some(from), Some(to)).await?;
+    let sums = sum_counts(&rows);
+    let transaction = PartTransaction {
+        part: String::new(),
+        checks: vec![VersionCheck { table: REPORT_TABLE, key: key.clone(), version: 0 }],
+        writes: vec![RowContent { table: REPORT_TABLE, key, value: serde_json::to_vec(&sums).unwrap_or_default() }],
+    };
+    match (store.transact)(transaction).await? {
+        TransactionResult::Applied(_) => Ok(sums),
+        TransactionResult::Conflict(rows) => {
+            let value = rows.first().and_then(|row| row.value.as_deref()).unwrap_or_default();
+            serde_json::from_slice(value).map_err(|_| StoreCallFault::Malformed)
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/host_start.rs
@@ -0,0 +1,281 @@
+//! Start and planned stop of a host in an installation.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use log::LevelFilter;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::duties::duty_calls::DutyCalls;
+use crate::duties::duty_keeper::DutyKeeper;
+use crate::duties::usage_counter::{UsageCounter, wall_time};
+use crate::entry::fleet_follower::{FleetPublisher, InstallationTables, follow_fleet};
+use crate::entry::host_context::HostContext;
+use crate::entry::settings::{InstallationSettings, InstallationSettingsLogLevel};
+use crate::fleet::service_map::{AdmissionFault, RouteKind, ServiceMap};
+use crate::fleet::target_load::LoadTable;
+use crate::jobs::job_board::JobBoard;
+use crate::jobs::job_calls::{JobAccess, Submission, end_job, read_item, read_job, submit_job};
+use crate::jobs::job_keeper::keep_jobs;
+use crate::prelude::*;
+use crate::relay::caller_codec::{CallerAction, CallerCodec, CallerHead};
+use crate::relay::caller_server::{serve_callers, serve_readiness};
+use crate::relay::connection_pool::{ConnectionPool, read_body};
+use crate::relay::plain_relay::{RelayOrder, relay_request};
+use crate::relay::reply::{ReplyBody, code_reply};
+use crate::relay::target_codec::{TargetCodec, TargetRequest};
+use crate::row_store::RowStore;
+
+/// Time for which a stopping host still accepts connections: the balancer asks once a second and needs two misses.
+const DRAIN_TIME: Duration = Duration::from_millis(2500);
+
+/// Part of the stop limit after which batch jobs are handed to other hosts; most steps end sooner by themselves.
+const RELEASE_SHARE: f64 = 0.5;
+
+/// Part of the stop limit after which the process ends.
+const END_SHARE: f64 = 0.85;
+
+/// Wait that is suggested to callers of a host that knows no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// Longest wait for a result in one read.
+const READ_WAIT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Longest wait for the body of a request.
+const BODY_LIMIT_TIME: Duration = Duration::from_secs(20);
+
+/// What the installation's adapter passes in.
+pub struct HostParts {
+    /// Settings.
+    pub settings: InstallationSettings,
+    /// Makes a client of the store for the thread that calls it.
+    pub new_store: Box<dyn Fn() -> RowStore + Send>,
+    /// Makes the calls of the duties for the thread that calls it.
+    pub new_duty_calls: Box<dyn Fn() -> DutyCalls + Send>,
+    /// Tables that the platform fills.
+    pub tables: InstallationTables,
+    /// Words of targets.
+    pub target_codec: TargetCodec,
+    /// Words of callers.
+    pub caller_codec: CallerCodec,
+}
+
+impl std::fmt::Debug for HostParts {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("HostParts")
+    }
+}
+
+fn new_runtime() -> std::io::Result<Runtime> {
+    Builder::new_current_thread().enable_all().build()
+}
+
+/// Runs a host until the platform stops it.
+///
+/// # Errors
+///
+/// An address cannot be bound, or a thread cannot be started.
+pub fn run_host(parts: HostParts) -> std::io::Result<()> {
+    crate::logs::start_logs(&parts.settings.host, log_level(&parts.settings));
+    let (publisher, view) = FleetPublisher::new();
+    let incarnation = u64::try_from(wall_time().as_nanos()).unwrap_or_default();
+    let context = Arc::new(HostContext {
+        incarnation,
+        view,
+        store: Arc::new((parts.new_store)()),
+        pool: ConnectionPool::new(),
+        loads: Mutex::new(LoadTable::new()),
+        board: JobBoard::new(),
+        usage: UsageCounter::new(Duration::from_secs_f64(parts.settings.usage_window_seconds)),
+        target_codec: parts.target_codec,
+        caller_codec: parts.caller_codec,
+        stopping: AtomicBool::new(false),
+        releasing: AtomicBool::new(false),
+        settings: parts.settings,
+    });
+    let control_context = Arc::clone(&context);
+    let tables = parts.tables;
+    let (new_store, new_duty_calls) = (parts.new_store, parts.new_duty_calls);
+    std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+        let runtime = match new_runtime() {
+            Ok(runtime) => runtime,
+            Err(error) => {
+                log::error!(error = error.to_string(); "control_thread_failed");
+                return;
+            }
+        };
+        runtime.block_on(async move {
+            let store = Arc::new(new_store());
+            let duties = DutyKeeper::new(Arc::clone(&control_context), Arc::clone(&store), new_duty_calls());
+            tokio::join!(
+                follow_fleet(control_context, store, publisher, tables, Arc::clone(&duties)),
+                Arc::clone(&duties).keep_lease(),
+                Arc::clone(&duties).keep_weights(),
+                Arc::clone(&duties).keep_usage(),
+                Arc::clone(&duties).keep_supply(),
+            );
+        });
+    })?;
+    new_runtime()?.block_on(serve_until_stopped(context))
+}
+
+fn log_level(settings: &InstallationSettings) -> LevelFilter {
+    match settings.log_level {
+        InstallationSettingsLogLevel::Error => LevelFilter::Error,
+        InstallationSettingsLogLevel::Warn => LevelFilter::Warn,
+        InstallationSettingsLogLevel::Info => LevelFilter::Info,
+        InstallationSettingsLogLevel::Debug => LevelFilter::Debug,
+    }
+}
+
+async fn serve_until_stopped(context: Arc<HostContext>) -> std::io::Result<()> {
+    let mut stop_signal = signal(SignalKind::terminate())?;
+    let mut reload_signal = signal(SignalKind::hangup())?;
+    let listener = TcpListener::bind(&context.settings.caller_address).await?;
+    let readiness = context.settings.readiness_address.parse().map_err(std::io::Error::other)?;
+    let ready_context = Arc::clone(&context);
+    tokio::spawn(serve_readiness(readiness, move || is_ready(&ready_context)));
+    let (close, closing) = watch::channel(false);
+    let handler_context = Arc::clone(&context);
+    let handler = Arc::new(move |request: Request<Incoming>| {
+        let context = Arc::clone(&handler_context);
+        Box::pin(async move { handle_request(context, request).await })
+            as std::pin::Pin<Box<dyn Future<Output = Response<ReplyBody>> + Send>>
+    });
+    let callers = tokio::spawn(serve_callers(Arc::clone(&context), listener, handler, closing));
+    let keeper = tokio::spawn(keep_jobs(Arc::clone(&context)));
+    log::info!(
+        incarnation = context.incarnation, domain = context.settings.failure_domain,
+        address = context.settings.caller_address;
+        "host_started"
+    );
+    loop {
+        tokio::select! {
+            _ = stop_signal.recv() => break,
+            // Nothing in the settings changes while a process runs; the line explains a signal that had no effect.
+            _ = reload_signal.recv() => log::info!("reload_requested"),
+        }
+    }
+    log::info!("stop_requested");
+    let started_at = boot_time();
+    context.stopping.store(true, Ordering::Release);
+    let limit = Duration::from_secs_f64(context.settings.stop_limit_seconds);
+    tokio::time::sleep(DRAIN_TIME).await;
+    // A receiver that is gone has no open connections either.
+    let _ = close.send(true);
+    tokio::time::sleep(limit.mul_f64(RELEASE_SHARE).saturating_sub(DRAIN_TIME)).await;
+    context.releasing.store(true, Ordering::Release);
+    while boot_time().saturating_sub(started_at) < limit.mul_f64(END_SHARE) {
+        let is_idle = context.with_loads(|loads| loads.loads().iter().all(|load| load.running == 0));
+        if is_idle && Arc::strong_count(&context) > 0 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    callers.abort();
+    keeper.abort();
+    log::info!(elapsed_ms = whole_millis(boot_time().saturating_sub(started_at)); "host_stopped");
+    Ok(())
+}
+
+fn is_ready(context: &HostContext) -> bool {
+    !context.is_stopping() && context.view.borrow().services.is_some()
+}
+
+async fn handle_request(context: Arc<HostContext>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let arrived_at = boot_time();
+    let (parts, body) = request.into_parts();
+    let head = (context.caller_codec.decode)(&parts);
+    let view = context.view();
+    let Some(services) = view.services.clone() else {
+        return refuse(&head, ResultCode::NotReady, Some(NOT_READY_RETRY));
+    };
+    let access = |job: &str| {
+        let organisation = admit_organisation(&services, false, &head)?;
+        Ok(JobAccess { job: job.to_owned(), organisation })
+    };
+    if head.action != CallerAction::Forward && !services.has_host(&head.host) {
+        return refuse(&head, ResultCode::NotFound, None);
+    }
+    let result = match &head.action {
+        CallerAction::ReadResults { job, after } => match access(job) {
+            Ok(access) => {
+                let wait = head.wait.unwrap_or_default().min(READ_WAIT_LIMIT);
+                return read_job(&context, access, *after, wait).await;
+            }
+            Err(code) => Err(code),
+        },
+        CallerAction::ReadItem { job, item } => match access(job) {
+            Ok(access) => return read_item(&context, access, item).await,
+            Err(code) => Err(code),
+        },
+        CallerAction::EndJob { job } => match access(job) {
+            Ok(access) => return end_job(&context, access).await,
+            Err(code) => Err(code),
+        },
+        CallerAction::Forward => forward(&context, &services, &head, parts, body, arrived_at).await,
+    };
+    result.unwrap_or_else(|code| refuse(&head, code, None))
+}
+
+fn refuse(head: &CallerHead, code: ResultCode, retry_after: Option<Duration>) -> Response<ReplyBody> {
+    log::info!(
+        request = head.request_id, path = head.path, host_name = head.host, code = code.number(),
+        has_key = head.key.is_some();
+        "request_refused"
+    );
+    code_reply(code, retry_after)
+}
+
+fn admit_organisation(
+    services: &ServiceMap,
+    is_open: bool,
+    head: &CallerHead,
+) -> Result<Option<OrganisationId>, ResultCode> {
+    let organisation = services.admit(is_open, head.key.as_deref()).map_err(|fault| match fault {
+        AdmissionFault::KeyMissing => ResultCode::KeyMissing,
+        AdmissionFault::KeyUnknown => ResultCode::KeyUnknown,
+    })?;
+    Ok(organisation.map(|rule| rule.name.clone()))
+}
+
+async fn forward(
+    context: &Arc<HostContext>,
+    services: &ServiceMap,
+    head: &CallerHead,
+    parts: hyper::http::request::Parts,
+    body: Incoming,
+    arrived_at: BootTime,
+) -> Result<Response<ReplyBody>, ResultCode> {
+    let route = services.route(&head.host, &head.path).ok_or(ResultCode::NotFound)?;
+    let organisation = admit_organisation(services, route.is_open, head)?;
+    let limit = services.limits.body_bytes;
+    let body_time = head.deadline.unwrap_or(BODY_LIMIT_TIME).min(BODY_LIMIT_TIME);
+    let body = tokio::time::timeout(body_time, read_body(body, limit)).await;
+    let body = body.map_err(|_| ResultCode::QueueTimeout)?.map_err(|_| ResultCode::TooLarge)?;
+    if route.kind == RouteKind::BatchJob {
+        if parts.method != Method::POST {
+            return Err(ResultCode::BadMethod);
+        }
+        let spec = (context.caller_codec.decode_job)(&body).ok_or(ResultCode::BadRequest)?;
+        let job = head.request_id.clone();
+        let caller_host = head.host.clone();
+        return Ok(submit_job(context, Submission { job, route, caller_host, organisation, spec }).await);
+    }
+    let request = TargetRequest {
+        method: parts.method,
+        path: head.path_and_query.clone(),
+        host: head.host.clone(),
+        headers: (context.caller_codec.strip)(&parts.headers),
+        request_id: head.request_id.clone(),
+        organisation,
+        body,
+    };
+    let order = RelayOrder { request, route, view: context.view(), arrived_at, patience: head.deadline };
+    Ok(relay_request(context, order).await)
+}
--- a/src/generated.rs
+++ b/src/generated.rs
@@ -5,6 +5,7 @@
 
 pub mod caller_messages;
 pub mod engine_messages;
+pub mod installation_settings;
 pub mod peer_messages;
 pub mod platform_messages;
 pub mod process_settings;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -35,3 +35,9 @@
 
 /// Id of a request, in every log line about it.
 pub type RequestId = String;
+
+/// Id of a batch job, chosen by its caller.
+pub type JobId = String;
+
+/// Id of an item of a batch job, chosen by its caller.
+pub type ItemId = String;
--- /dev/null
+++ b/src/jobs/item_run.rs
@@ -0,0 +1,213 @@
+//! Runs one item on one target and keeps what it has produced.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+use http_body_util::BodyExt;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, StatusCode};
+
+use crate::entry::host_context::{HostContext, RunningRequest};
+use crate::fleet::fleet_view::TargetEntry;
+use crate::jobs::job_plan::RunEnd;
+use crate::jobs::job_record::{ItemSpec, JobHeader};
+use crate::prelude::*;
+use crate::relay::connection_pool::{Exchange, ExchangeFault, read_body};
+use crate::relay::event_reader::{EventReader, StreamEvent};
+use crate::relay::target_codec::{SendTerms, TargetRequest};
+
+/// Longest wait for the head of an answer; a loaded engine starts a run within a second.
+const HEAD_LIMIT: Duration = Duration::from_millis(2500);
+
+/// Longest silence within a stream; covers a load of weights that runs wait for.
+const GAP_LIMIT: Duration = Duration::from_millis(2000);
+
+/// Largest body of a failure that is read to keep its connection, in bytes.
+const FAILURE_BODY: usize = 16 * 1024;
+
+/// Output of an item so far.
+#[derive(Debug, Default)]
+pub struct ItemProgress {
+    /// Data of the events, in order.
+    pub data: Vec<String>,
+    /// Id of the last event.
+    pub last_event: Option<u64>,
+    /// Versions of the weights that generated events, sorted.
+    pub versions: Vec<WeightVersion>,
+}
+
+impl ItemProgress {
+    /// Adds the next event; returns false for one that does not follow the last one.
+    pub fn add(&mut self, event: StreamEvent, version: Option<WeightVersion>) -> bool {
+        let Some(id) = event.id else { return false };
+        if self.last_event.is_some_and(|last| id != last + 1) {
+            return false;
+        }
+        if let Some(version) = version {
+            if let Err(position) = self.versions.binary_search(&version) {
+                self.versions.insert(position, version);
+            }
+        }
+        self.last_event = Some(id);
+        self.data.push(event.data);
+        true
+    }
+}
+
+/// What a run needs.
+#[derive(Debug)]
+pub struct ItemRun {
+    /// Shared parts.
+    pub context: Arc<HostContext>,
+    /// Header of the job.
+    pub header: Arc<JobHeader>,
+    /// Item.
+    pub item: ItemSpec,
+    /// Target.
+    pub target: TargetEntry,
+    /// Time after which the output is of no use.
+    pub deadline: Duration,
+    /// Whether all of the output must come from one version.
+    pub is_single_version: bool,
+    /// Output so far.
+    pub progress: Arc<Mutex<ItemProgress>>,
+}
+
+impl ItemRun {
+    /// Runs the item until it ends or the target fails.
+    pub async fn run(self) -> RunEnd {
+        let started = Instant::now();
+        let (end, events) = self.run_counted().await;
+        let now = boot_time();
+        let target = self.target.id.as_str();
+        self.context.with_loads(|loads| match end {
+            RunEnd::Complete => {
+                let pace = (events > 0).then(|| started.elapsed().as_secs_f64() / f64::from(events));
+                loads.record_success(target, pace);
+            }
+            RunEnd::Refused => loads.record_full(target, now),
+            RunEnd::Broken => loads.record_failure(target, now),
+            RunEnd::Misdirected | RunEnd::Failed | RunEnd::Impossible => {}
+        });
+        if end != RunEnd::Complete {
+            log::info!(
+                job = self.header.job, item = self.item.id, target = target, domain = self.target.domain,
+                end:? = end, events = events, resumed_after:? = self.last_event(),
+                elapsed_ms = whole_millis(started.elapsed()),
+                targets_age_ms = whole_millis(now.saturating_sub(self.context.view().targets_read_at));
+                "item_run_ended"
+            );
+        }
+        end
+    }
+
+    fn with_progress<T>(&self, work: impl FnOnce(&mut ItemProgress) -> T) -> T {
+        work(&mut self.progress.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn last_event(&self) -> Option<u64> {
+        self.with_progress(|progress| progress.last_event)
+    }
+
+    async fn run_counted(&self) -> (RunEnd, u32) {
+        let now = boot_time();
+        let _running = RunningRequest::start(&self.context, &self.target.id, true, self.target.cold_until > now);
+        let terms = SendTerms { target: &self.target.id, deadline: self.deadline, resume_after: self.last_event() };
+        let Some(request) = self.request() else { return (RunEnd::Impossible, 0) };
+        let Ok(request) = (self.context.target_codec.encode)(&request, &terms) else { return (RunEnd::Impossible, 0) };
+        let sent = tokio::time::timeout(HEAD_LIMIT, self.context.pool.send(self.target.address, request)).await;
+        let exchange = match sent {
+            Ok(Ok(exchange)) => exchange,
+            Ok(Err(ExchangeFault::NotConnected | ExchangeFault::Broken)) | Err(_) => return (RunEnd::Broken, 0),
+        };
+        self.read_answer(exchange).await
+    }
+
+    fn request(&self) -> Option<TargetRequest> {
+        let mut headers = HeaderMap::new();
+        for (name, value) in &self.item.headers {
+            let (name, value) = (HeaderName::try_from(name).ok()?, HeaderValue::try_from(value).ok()?);
+            headers.append(name, value);
+        }
+        Some(TargetRequest {
+            method: Method::POST,
+            path: self.item.path.clone(),
+            host: self.header.caller_host.clone(),
+            headers: (self.context.caller_codec.strip)(&headers),
+            request_id: self.item.id.clone(),
+            organisation: self.header.organisation.clone(),
+            body: (self.context.caller_codec.decode_item_body)(&self.item.body)?,
+        })
+    }
+
+    async fn read_answer(&self, exchange: Exchange) -> (RunEnd, u32) {
+        let Exchange { response, connection } = exchange;
+        let (head, mut body) = response.into_parts();
+        let decoded = (self.context.target_codec.decode)(&head);
+        if decoded.request_id.as_deref().is_some_and(|id| id != self.item.id) {
+            return (RunEnd::Broken, 0);
+        }
+        if head.status != StatusCode::OK || decoded.is_not_run {
+            let end = match head.status {
+                _ if decoded.is_misdirected => RunEnd::Misdirected,
+                _ if decoded.is_not_run => RunEnd::Refused,
+                StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
+                _ => RunEnd::Failed,
+            };
+            if read_body(body, FAILURE_BODY).await.is_ok() {
+                self.context.pool.give_back(connection, decoded.idle_limit);
+            }
+            return (end, 0);
+        }
+        let mut version = decoded.version;
+        if !self.accepts(version) {
+            return (RunEnd::Misdirected, 0);
+        }
+        let mut reader = EventReader::new();
+        let mut events = 0;
+        loop {
+            let frame = match tokio::time::timeout(GAP_LIMIT, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) if reader.is_at_boundary() => break,
+                Ok(Some(Err(_)) | None) | Err(_) => return (RunEnd::Broken, events),
+            };
+            let Some(data) = frame.data_ref() else { continue };
+            let Ok(complete) = reader.push(data, self.context.target_codec.version_line) else {
+                return (RunEnd::Broken, events);
+            };
+            for event in complete {
+                version = event.version.or(version);
+                if !self.accepts(version) {
+                    return (RunEnd::Misdirected, events);
+                }
+                if !self.with_progress(|progress| progress.add(event, version)) {
+                    return (RunEnd::Broken, events);
+                }
+                events += 1;
+            }
+        }
+        self.context.pool.give_back(connection, decoded.idle_limit);
+        (RunEnd::Complete, events)
+    }
+
+    /// Whether output of this version may be used; also remembers what the target has.
+    fn accepts(&self, version: Option<WeightVersion>) -> bool {
+        let Some(version) = version else { return self.header.model.is_empty() };
+        let (target, model) = (self.target.id.as_str(), self.header.model.as_str());
+        self.context.with_loads(|loads| loads.record_version(target, model, version));
+        if version < self.header.least_version {
+            return false;
+        }
+        if self.is_single_version {
+            self.with_progress(|progress| {
+                if progress.versions.first().is_some_and(|known| *known != version) {
+                    *progress = ItemProgress::default();
+                    return false;
+                }
+                true
+            })
+        } else {
+            true
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/job_runner.rs
@@ -0,0 +1,366 @@
+//! Runs a batch job that this host owns, until all items are listed, its caller ends it or another host owns it.
+
+use std::sync::{Mutex, PoisonError};
+
+use tokio::task::JoinSet;
+
+use crate::entry::host_context::HostContext;
+use crate::jobs::item_run::{ItemProgress, ItemRun};
+use crate::jobs::job_plan::{ItemState, JobPlan, PlanContext, RunEnd};
+use crate::jobs::job_record::{ItemOutcome, ItemResult, JobHeader, JobSpec};
+use crate::jobs::job_store::{
+    HeaderWrite, append_results, plan_append, read_header, read_results, read_spec, replace_header,
+};
+use crate::prelude::*;
+use crate::row_store::{RowVersion, StoreCallFault};
+
+/// Shortest time between two appends of a job, so that results are listed in groups.
+const APPEND_PERIOD: Duration = Duration::from_millis(80);
+
+/// Wait after a store call that failed.
+const STORE_RETRY: Duration = Duration::from_millis(250);
+
+/// Longest time between two looks at what may have become startable.
+const LOOK_PERIOD: Duration = Duration::from_millis(60);
+
+/// Longest time between two looks when all items run.
+const IDLE_LOOK: Duration = Duration::from_millis(400);
+
+/// Time after the limit of a job at which its items are given up; covers the error of the estimated store time.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Why a runner ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunnerEnd {
+    /// All items are listed.
+    Listed,
+    /// Its caller ended the job.
+    Ended,
+    /// Another host owns it.
+    OwnerChanged,
+    /// This host stops and gave the job up.
+    Released,
+    /// The items could not be read.
+    Unreadable,
+}
+
+#[derive(Debug)]
+struct JobRunner {
+    context: Arc<HostContext>,
+    header: Arc<JobHeader>,
+    version: RowVersion,
+    spec: Arc<JobSpec>,
+    plan: JobPlan,
+    progress: Vec<Arc<Mutex<ItemProgress>>>,
+    ready: Vec<ItemResult>,
+    runs: JoinSet<(usize, RunEnd)>,
+    is_single_version: bool,
+    append_after: BootTime,
+}
+
+/// Runs a job to its end.
+pub async fn run_job(context: Arc<HostContext>, header: JobHeader, version: RowVersion) -> RunnerEnd {
+    let job = header.job.clone();
+    let started_at = boot_time();
+    let end = match prepare(&context, header, version).await {
+        Ok(runner) => runner.run().await,
+        Err(fault) => {
+            log::warn!(job = job, fault = fault.to_string(); "job_unreadable");
+            RunnerEnd::Unreadable
+        }
+    };
+    let elapsed_ms = whole_millis(boot_time().saturating_sub(started_at));
+    log::info!(job = job, end:? = end, elapsed_ms = elapsed_ms; "job_runner_ended");
+    end
+}
+
+async fn prepare(
+    context: &Arc<HostContext>,
+    header: JobHeader,
+    version: RowVersion,
+) -> Result<JobRunner, StoreCallFault> {
+    let spec = read_spec(&context.store, &header.job).await?;
+    let services = context.view().services.clone();
+    let route = services.as_ref().and_then(|services| services.route_named(&header.route));
+    let mut runner = JobRunner {
+        context: Arc::clone(context),
+        plan: JobPlan::new(&spec, route.map_or(1, |route| route.attempts)),
+        progress: spec.items.iter().map(|_| Arc::default()).collect(),
+        ready: Vec::new(),
+        runs: JoinSet::new(),
+        is_single_version: route.is_some_and(|route| route.is_single_version),
+        append_after: BootTime::ZERO,
+        header: Arc::new(header),
+        version,
+        spec: Arc::new(spec),
+    };
+    runner.mark_listed(0).await?;
+    Ok(runner)
+}
+
+impl JobRunner {
+    async fn run(mut self) -> RunnerEnd {
+        loop {
+            if let Some(end) = self.follow_header().await {
+                return end;
+            }
+            self.give_up_expired();
+            self.start_runs();
+            if let Some(end) = self.list_ready().await {
+                return end;
+            }
+            self.wait_event().await;
+        }
+    }
+
+    /// Takes over a newer header that this host learned of.
+    async fn follow_header(&mut self) -> Option<RunnerEnd> {
+        let known = self.context.board.get(&self.header.job)?;
+        if known.version > self.version {
+            return self.adopt_header(known.header, known.version).await;
+        }
+        None
+    }
+
+    async fn adopt_header(&mut self, header: JobHeader, version: RowVersion) -> Option<RunnerEnd> {
+        if header.is_ended {
+            return Some(RunnerEnd::Ended);
+        }
+        if !self.is_own(&header) {
+            return Some(RunnerEnd::OwnerChanged);
+        }
+        let listed_before = self.header.listed;
+        self.header = Arc::new(header);
+        self.version = version;
+        if self.header.listed > listed_before && self.mark_listed(listed_before).await.is_err() {
+            // Read again with the next look; until then nothing is appended, since the condition would not hold.
+            self.version = 0;
+        }
+        None
+    }
+
+    fn is_own(&self, header: &JobHeader) -> bool {
+        header.owner == self.context.settings.host && header.owner_incarnation == self.context.incarnation
+    }
+
+    /// Reads what is listed from a position on, and takes it out of the plan.
+    async fn mark_listed(&mut self, from: u32) -> Result<(), StoreCallFault> {
+        let mut position = from;
+        while position < self.header.listed {
+            let results = read_results(&self.context.store, &self.header.job, position).await?;
+            if results.is_empty() {
+                return Err(StoreCallFault::Malformed);
+            }
+            position += u32::try_from(results.len()).unwrap_or(u32::MAX);
+            for result in results {
+                self.ready.retain(|ready| ready.id != result.id);
+                if let Some(item) = self.spec.items.iter().position(|item| item.id == result.id) {
+                    self.plan.set_listed(item);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Time since the job was handed in.
+    fn age(&self) -> Duration {
+        let now = (self.context.store.store_time)().unwrap_or_default();
+        now.saturating_sub(Duration::from_millis(self.header.submitted_ms))
+    }
+
+    fn give_up_expired(&mut self) {
+        let limit = Duration::from_millis(self.header.limit_ms);
+        let services = self.context.view().services.clone();
+        let is_route_gone =
+            services.as_ref().is_some_and(|services| services.route_named(&self.header.route).is_none());
+        if self.age() < limit + GIVE_UP_MARGIN && !is_route_gone {
+            return;
+        }
+        self.runs.abort_all();
+        for item in 0..self.spec.items.len() {
+            if matches!(self.plan.state(item), ItemState::Waiting(_) | ItemState::Running(_)) {
+                self.plan.set_finished(item);
+                self.give_up(item);
+            }
+        }
+    }
+
+    fn give_up(&mut self, item: usize) {
+        let id = self.spec.items[item].id.clone();
+        log::info!(
+            job = self.header.job, item = id, age_ms = whole_millis(self.age()), limit_ms = self.header.limit_ms;
+            "item_given_up"
+        );
+        self.ready.push(ItemResult { id, outcome: ItemOutcome::Abandoned, text: String::new(), versions: Vec::new() });
+    }
+
+    fn start_runs(&mut self) {
+        if !self.plan.has_waiting() {
+            return;
+        }
+        let view = self.context.view();
+        let Some(services) = view.services.clone() else { return };
+        let Some(route) = services.route_named(&self.header.route) else { return };
+        let Some(service) = route.services.first().map(|weighted| weighted.service.as_str()) else { return };
+        let hosts: Vec<&str> = view.live_members().map(|member| member.host.as_str()).collect();
+        let plan_context = PlanContext {
+            view: &view,
+            service,
+            cold_rate: services.service(service).map_or(0.0, |rule| rule.cold_rate),
+            host: &self.context.settings.host,
+            domain: &self.context.settings.failure_domain,
+            hosts: &hosts,
+            now: boot_time(),
+        };
+        let limit = Duration::from_millis(self.header.limit_ms);
+        let left = limit.saturating_sub(self.age()).max(Duration::from_millis(1));
+        loop {
+            let plan = &mut self.plan;
+            let start = self.context.with_loads(|loads| {
+                let start = plan.next_start(loads, &plan_context)?;
+                // Counted here already, so that the next choice sees it.
+                loads.entry(&start.target.id).running += 1;
+                Some(start)
+            });
+            let Some(start) = start else { return };
+            let target = start.target.id.clone();
+            let run = ItemRun {
+                context: Arc::clone(&self.context),
+                header: Arc::clone(&self.header),
+                item: self.spec.items[start.item].clone(),
+                target: start.target,
+                deadline: left,
+                is_single_version: self.is_single_version,
+                progress: Arc::clone(&self.progress[start.item]),
+            };
+            let counted = PlannedStart { context: Arc::clone(&self.context), target };
+            self.runs.spawn(async move {
+                drop(counted);
+                (start.item, run.run().await)
+            });
+        }
+    }
+
+    async fn wait_event(&mut self) {
+        let period = if self.plan.has_waiting() { LOOK_PERIOD } else { IDLE_LOOK };
+        let period = if self.ready.is_empty() { period } else { period.min(APPEND_PERIOD) };
+        let board = &self.context.board;
+        tokio::select! {
+            Some(ended) = self.runs.join_next(), if !self.runs.is_empty() => {
+                if let Ok((item, end)) = ended {
+                    self.end_run(item, end);
+                }
+                while let Some(ended) = self.runs.try_join_next() {
+                    if let Ok((item, end)) = ended {
+                        self.end_run(item, end);
+                    }
+                }
+            }
+            () = board.wait_change(period) => {}
+        }
+    }
+
+    fn end_run(&mut self, item: usize, end: RunEnd) {
+        if !matches!(self.plan.state(item), ItemState::Running(_)) {
+            return;
+        }
+        let is_given_up = self.plan.end_run(item, end, boot_time());
+        if is_given_up {
+            self.give_up(item);
+        } else if end == RunEnd::Complete {
+            let progress = self.progress[item].lock().unwrap_or_else(PoisonError::into_inner);
+            self.ready.push(ItemResult {
+                id: self.spec.items[item].id.clone(),
+                outcome: ItemOutcome::Completed,
+                text: progress.data.join("\n"),
+                versions: progress.versions.clone(),
+            });
+        }
+    }
+
+    /// Lists ended items; returns how the runner ends, when it does.
+    async fn list_ready(&mut self) -> Option<RunnerEnd> {
+        if self.header.is_closed() {
+            return Some(RunnerEnd::Listed);
+        }
+        let now = boot_time();
+        if self.context.is_stopping() && self.ready.is_empty() && self.context.must_release_jobs() {
+            return self.release().await;
+        }
+        if self.ready.is_empty() || now < self.append_after {
+            return None;
+        }
+        if self.version == 0 {
+            return self.resync().await;
+        }
+        let append = plan_append(&self.header, &self.ready);
+        let count = append.count;
+        match append_results(&self.context.store, &self.header, self.version, append).await {
+            Ok(HeaderWrite::Written(version)) => {
+                let mut header = JobHeader::clone(&self.header);
+                header.listed += u32::try_from(count).unwrap_or(u32::MAX);
+                self.ready.drain(..count).for_each(|result| {
+                    if let Some(item) = self.spec.items.iter().position(|item| item.id == result.id) {
+                        self.plan.set_listed(item);
+                    }
+                });
+                self.context.board.learn(header.clone(), version, boot_time());
+                self.header = Arc::new(header);
+                self.version = version;
+                self.append_after = now + APPEND_PERIOD;
+                self.header.is_closed().then_some(RunnerEnd::Listed)
+            }
+            Ok(HeaderWrite::Changed(Some((header, version)))) => {
+                self.context.board.learn(header.clone(), version, boot_time());
+                self.adopt_header(header, version).await
+            }
+            Ok(HeaderWrite::Changed(None)) => Some(RunnerEnd::OwnerChanged),
+            Err(fault) => {
+                log::warn!(
+                    job = self.header.job, fault = fault.to_string(), ready = self.ready.len();
+                    "job_append_failed"
+                );
+                self.append_after = now + STORE_RETRY;
+                // The append may have taken effect; the header tells.
+                self.resync().await
+            }
+        }
+    }
+
+    async fn resync(&mut self) -> Option<RunnerEnd> {
+        match read_header(&self.context.store, &self.header.job).await {
+            Ok(Some((header, version))) => self.adopt_header(header, version).await,
+            Ok(None) => Some(RunnerEnd::OwnerChanged),
+            Err(_) => {
+                self.append_after = boot_time() + STORE_RETRY;
+                None
+            }
+        }
+    }
+
+    /// Gives the job up, so that another host takes it at once.
+    async fn release(&mut self) -> Option<RunnerEnd> {
+        let mut header = JobHeader::clone(&self.header);
+        header.owner.clear();
+        match replace_header(&self.context.store, &header, self.version).await {
+            Ok(HeaderWrite::Written(version)) => {
+                self.context.board.learn(header, version, boot_time());
+                Some(RunnerEnd::Released)
+            }
+            // The host ends soon in any case, and the others notice.
+            Ok(HeaderWrite::Changed(_)) | Err(_) => Some(RunnerEnd::Released),
+        }
+    }
+}
+
+/// Counts a planned run until the run itself is counted.
+struct PlannedStart {
+    context: Arc<HostContext>,
+    target: TargetId,
+}
+
+impl Drop for PlannedStart {
+    fn drop(&mut self) {
+        self.context.with_loads(|loads| loads.end(&self.target, false));
+    }
+}
--- /dev/null
+++ b/src/jobs/job_store.rs
@@ -0,0 +1,224 @@
+//! Reads and writes the rows of batch jobs.
+
+use crate::jobs::job_board::decode_header;
+use crate::jobs::job_record::{ITEM_TABLE, ItemResult, JOB_TABLE, JobHeader, JobSpec, RESULT_TABLE, job_part};
+use crate::row_store::{
+    PartTransaction, RowContent, RowRange, RowStore, RowVersion, StoreCallFault, StoredRow, TransactionResult,
+    VersionCheck,
+};
+
+/// Largest value of one row in bytes; the installations' stores hold 64 KiB.
+const ROW_BYTES: usize = 60_000;
+
+/// Most bytes that one transaction writes; the stores accept 1 MB after encoding.
+const TRANSACTION_BYTES: usize = 600_000;
+
+/// Most rows that one transaction writes; the stores accept 100 entries.
+const TRANSACTION_ROWS: usize = 90;
+
+/// Result of an attempt to write a header.
+#[derive(Debug)]
+pub enum HeaderWrite {
+    /// Written at this version.
+    Written(RowVersion),
+    /// Another version of the header is there; `None` when it is absent.
+    Changed(Option<(JobHeader, RowVersion)>),
+}
+
+/// Results that are about to be listed.
+#[derive(Debug)]
+pub struct ResultAppend {
+    /// Rows.
+    rows: Vec<RowContent>,
+    /// Results among those given that fit.
+    pub count: usize,
+}
+
+fn item_key(job: &str, chunk: usize) -> String {
+    format!("{job}/{chunk:04}")
+}
+
+fn result_key(job: &str, position: u32, piece: usize, pieces: usize) -> String {
+    format!("{job}/{position:06}/{piece:03}-{pieces:03}")
+}
+
+fn header_row(header: &JobHeader) -> RowContent {
+    RowContent { table: JOB_TABLE, key: header.job.clone(), value: encode(header) }
+}
+
+fn encode(value: &impl serde::Serialize) -> Vec<u8> {
+    // Types without maps that have non-text keys always encode.
+    serde_json::to_vec(value).unwrap_or_default()
+}
+
+/// Stores a job that was not accepted yet.
+///
+/// # Errors
+///
+/// The store gave no answer; after a lost answer the job may have been accepted.
+pub async fn store_job(store: &RowStore, header: &JobHeader, spec: &JobSpec) -> Result<HeaderWrite, StoreCallFault> {
+    let value = encode(spec);
+    let chunks: Vec<RowContent> = value
+        .chunks(ROW_BYTES)
+        .enumerate()
+        .map(|(chunk, bytes)| RowContent {
+            table: ITEM_TABLE,
+            key: item_key(&header.job, chunk),
+            value: bytes.to_vec(),
+        })
+        .collect();
+    let per_transaction = (TRANSACTION_BYTES / ROW_BYTES).min(TRANSACTION_ROWS);
+    let last_start = chunks.len().saturating_sub(per_transaction);
+    // All chunks but those of the last transaction precede the header; without it they mean nothing.
+    for group in chunks[..last_start].chunks(per_transaction) {
+        let transaction = PartTransaction { part: job_part(&header.job), checks: Vec::new(), writes: group.to_vec() };
+        (store.transact)(transaction).await?;
+    }
+    let mut writes = chunks[last_start..].to_vec();
+    writes.push(header_row(header));
+    write_header(store, header, 0, writes).await
+}
+
+async fn write_header(
+    store: &RowStore,
+    header: &JobHeader,
+    version: RowVersion,
+    writes: Vec<RowContent>,
+) -> Result<HeaderWrite, StoreCallFault> {
+    let checks = vec![VersionCheck { table: JOB_TABLE, key: header.job.clone(), version }];
+    let transaction = PartTransaction { part: job_part(&header.job), checks, writes };
+    Ok(match (store.transact)(transaction).await? {
+        TransactionResult::Applied(version) => HeaderWrite::Written(version),
+        TransactionResult::Conflict(rows) => HeaderWrite::Changed(find_header(&rows, &header.job)),
+    })
+}
+
+fn find_header(rows: &[StoredRow], job: &str) -> Option<(JobHeader, RowVersion)> {
+    let row = rows.iter().find(|row| row.table == JOB_TABLE && row.key == job)?;
+    decode_header(row).map(|header| (header, row.version))
+}
+
+/// Replaces a header on condition of its version.
+///
+/// # Errors
+///
+/// The store gave no answer.
+pub async fn replace_header(
+    store: &RowStore,
+    header: &JobHeader,
+    version: RowVersion,
+) -> Result<HeaderWrite, StoreCallFault> {
+    write_header(store, header, version, vec![header_row(header)]).await
+}
+
+/// Reads a header; `None` when the job does not exist.
+///
+/// # Errors
+///
+/// The store gave no answer.
+pub async fn read_header(store: &RowStore, job: &str) -> Result<Option<(JobHeader, RowVersion)>, StoreCallFault> {
+    let range = RowRange {
+        table: JOB_TABLE.to_owned(),
+        part: job_part(job),
+        from: Some(job.to_owned()),
+        to: Some(format!("{job}\0")),
+    };
+    let rows = (store.read_range)(range).await?.rows;
+    Ok(find_header(&rows, job))
+}
+
+/// Reads the items of an accepted job.
+///
+/// # Errors
+///
+/// The store gave no answer, or the rows cannot be read.
+pub async fn read_spec(store: &RowStore, job: &str) -> Result<JobSpec, StoreCallFault> {
+    let (from, to) = (format!("{job}/"), format!("{job}0"));
+    let (rows, _) = store.read_part(ITEM_TABLE, &job_part(job), Some(from), Some(to)).await?;
+    let bytes: Vec<u8> = rows.into_iter().filter_map(|row| row.value).flatten().collect();
+    serde_json::from_slice(&bytes).map_err(|_| StoreCallFault::Malformed)
+}
+
+/// Reads results from a position on, as many as one answer of the store holds.
+///
+/// # Errors
+///
+/// The store gave no answer, or the rows cannot be read.
+pub async fn read_results(store: &RowStore, job: &str, after: u32) -> Result<Vec<ItemResult>, StoreCallFault> {
+    let range = RowRange {
+        table: RESULT_TABLE.to_owned(),
+        part: job_part(job),
+        from: Some(format!("{job}/{after:06}")),
+        to: Some(format!("{job}0")),
+    };
+    let page = (store.read_range)(range).await?;
+    join_results(job, after, &page.rows)
+}
+
+/// Joins the pieces of consecutive results; a result whose last pieces are missing ends the list.
+fn join_results(job: &str, after: u32, rows: &[StoredRow]) -> Result<Vec<ItemResult>, StoreCallFault> {
+    let mut results = Vec::new();
+    let mut value: Vec<u8> = Vec::new();
+    let mut piece = 0;
+    for row in rows {
+        let position = after + u32::try_from(results.len()).unwrap_or(u32::MAX);
+        let (pieces, bytes) = match (piece_count(&row.key), &row.value) {
+            (Some(pieces), Some(bytes)) if row.key == result_key(job, position, piece, pieces) => (pieces, bytes),
+            _ => break,
+        };
+        value.extend_from_slice(bytes);
+        piece += 1;
+        if piece == pieces {
+            results.push(serde_json::from_slice(&value).map_err(|_| StoreCallFault::Malformed)?);
+            value.clear();
+            piece = 0;
+        }
+    }
+    Ok(results)
+}
+
+fn piece_count(key: &str) -> Option<usize> {
+    key.rsplit_once('-')?.1.parse().ok()
+}
+
+/// Rows for as many of the results as one transaction holds.
+#[must_use]
+pub fn plan_append(header: &JobHeader, results: &[ItemResult]) -> ResultAppend {
+    let mut append = ResultAppend { rows: Vec::new(), count: 0 };
+    let mut bytes = 0;
+    for result in results {
+        let value = encode(result);
+        let pieces = value.len().div_ceil(ROW_BYTES);
+        bytes += value.len();
+        let is_full = append.rows.len() + pieces > TRANSACTION_ROWS || bytes > TRANSACTION_BYTES;
+        if append.count > 0 && is_full {
+            break;
+        }
+        let position = header.listed + u32::try_from(append.count).unwrap_or(u32::MAX);
+        append.rows.extend(value.chunks(ROW_BYTES).enumerate().map(|(piece, part)| RowContent {
+            table: RESULT_TABLE,
+            key: result_key(&header.job, position, piece, pieces),
+            value: part.to_vec(),
+        }));
+        append.count += 1;
+    }
+    append
+}
+
+/// Lists results after those that `header` counts; the header written counts them too.
+///
+/// # Errors
+///
+/// The store gave no answer; after a lost answer the results may be listed.
+pub async fn append_results(
+    store: &RowStore,
+    header: &JobHeader,
+    version: RowVersion,
+    append: ResultAppend,
+) -> Result<HeaderWrite, StoreCallFault> {
+    let mut writes = append.rows;
+    let mut next = header.clone();
+    next.listed += u32::try_from(append.count).unwrap_or(u32::MAX);
+    writes.push(header_row(&next));
+    write_header(store, &next, version, writes).await
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,10 +6,14 @@
 use camphorspring::options::arguments::{Camphorspring, CamphorspringCmd};
 use camphorspring::serve::serve_host;
 
+#[path = "../platform/mod.rs"]
+mod platform;
+
 fn main() -> ExitCode {
     let arguments = Camphorspring::from_env_or_exit();
     let result = match &arguments.subcommand {
         CamphorspringCmd::Serve(command) => serve_host(&command.settings),
+        CamphorspringCmd::ServePlatform(_) => platform::serve(),
         _ => run_command(&arguments),
     };
     match result {
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -46,6 +46,10 @@
             /// Settings file.
             required settings: PathBuf
         }
+        /// Run a host on the users' platform until it is told to stop.
+        ///
+        /// The settings file is named by the environment variable CAMPHORSPRING_NODE_FILE.
+        cmd serve-platform {}
         /// Check a services text without applying it.
         cmd check {
             /// Services text.
--- a/src/options/process_settings.rs
+++ b/src/options/process_settings.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::Path;
 
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::generated::process_settings::ProcessSettings;
@@ -16,15 +17,23 @@
 ///
 /// All errors of the file; a file that cannot be read is one error at line 1.
 pub fn load_settings(path: &Path) -> Result<ProcessSettings, Vec<TextError>> {
-    let text = fs::read_to_string(path).map_err(|error| {
+    parse_settings(&read_text(path)?)
+}
+
+/// Reads the text of a settings file.
+///
+/// # Errors
+///
+/// The file cannot be read.
+pub fn read_text(path: &Path) -> Result<String, Vec<TextError>> {
+    fs::read_to_string(path).map_err(|error| {
         vec![TextError {
             line: 1,
             field: path.display().to_string(),
             found: error.to_string(),
             allowed: "a readable file".to_owned(),
         }]
-    })?;
-    parse_settings(&text)
+    })
 }
 
 /// Parses and checks a settings text.
@@ -33,7 +42,16 @@
 ///
 /// All errors of the text.
 pub fn parse_settings(text: &str) -> Result<ProcessSettings, Vec<TextError>> {
-    let schema: Value = serde_json::from_str(SCHEMA).unwrap_or_default();
+    parse_checked(text, SCHEMA)
+}
+
+/// Parses a settings text that its schema allows.
+///
+/// # Errors
+///
+/// All errors of the text.
+pub fn parse_checked<T: DeserializeOwned>(text: &str, schema: &str) -> Result<T, Vec<TextError>> {
+    let schema: Value = serde_json::from_str(schema).unwrap_or_default();
     check_text(text, &schema)?;
     serde_yaml_ng::from_str(text).map_err(|error| {
         let line = error.location().map_or(1, |location| location.line());
--- /dev/null
+++ b/src/relay/reply.rs
@@ -0,0 +1,44 @@
+//! Replies to callers.
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use crate::prelude::*;
+
+/// Error of a body that ended early.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Body of a reply.
+pub type ReplyBody = BoxBody<Bytes, BodyError>;
+
+/// Body of known bytes.
+#[must_use]
+pub fn whole_body(bytes: Bytes) -> ReplyBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed()
+}
+
+/// Reply with a result code, and the time after which the caller may come again.
+#[must_use]
+pub fn code_reply(code: ResultCode, retry_after: Option<Duration>) -> Response<ReplyBody> {
+    let entry = code.entry();
+    let text = format!("{{\"code\":{},\"message\":\"{}\"}}", entry.number, entry.message);
+    let mut response = json_reply(StatusCode::OK, Bytes::from(text));
+    *response.status_mut() = StatusCode::from_u16(entry.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let seconds = retry_after.map(|wait| format!("{:.2}", wait.as_secs_f64()));
+    if let Some(value) = seconds.and_then(|seconds| HeaderValue::from_str(&seconds).ok()) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Reply with a JSON body.
+#[must_use]
+pub fn json_reply(status: StatusCode, body: Bytes) -> Response<ReplyBody> {
+    let mut response = Response::new(whole_body(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
