Count a run when it is planned, so that a cold engine gets its allowance

Change: the plan counts a start in the load table when it makes it; plain requests are counted in the same way.

--- a/src/duties/duty_keeper.rs
+++ b/src/duties/duty_keeper.rs
@@ -238,15 +238,14 @@
             .iter()
             .find(|known| known.target == target.id && known.started_ms == target.started_ms)
             .map(|known| known.accepted);
-        let accepted_before = match known {
-            Some(accepted) => accepted,
-            None => {
-                let report = (self.calls.read_report)(target.address).await?;
-                if report.is_busy {
-                    return None;
-                }
-                report.accepted
+        let accepted_before = if let Some(accepted) = known {
+            accepted
+        } else {
+            let report = (self.calls.read_report)(target.address).await?;
+            if report.is_busy {
+                return None;
             }
+            report.accepted
         };
         let (fence, _guard) = self.begin_act()?;
         let limit = lock(&self.lease).call_limit();
@@ -381,12 +380,11 @@
             continue;
         }
         let known = levels.iter_mut().find(|level| level.service == target.service && level.domain == target.domain);
-        match known {
-            Some(level) => level.count += 1,
-            None => {
-                levels.push(SupplyLevel { service: target.service.clone(), domain: target.domain.clone(), count: 1 })
-            }
+        if let Some(level) = known {
+            level.count += 1;
+            continue;
         }
+        levels.push(SupplyLevel { service: target.service.clone(), domain: target.domain.clone(), count: 1 });
     }
     levels
 }
--- a/src/duties/weight_rollout.rs
+++ b/src/duties/weight_rollout.rs
@@ -31,7 +31,7 @@
 }
 
 /// An order that is not seen to be carried out within this time is given again.
-pub const ORDER_PATIENCE: Duration = Duration::from_millis(4000);
+pub const ORDER_PATIENCE: Duration = Duration::from_secs(4);
 
 /// An order to give.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -72,7 +72,7 @@
     }
 }
 
-/// Counts a request on a target while it lives.
+/// A request that the load table counts as running on a target, until it is dropped.
 #[derive(Debug)]
 pub struct RunningRequest {
     context: Arc<HostContext>,
@@ -81,10 +81,9 @@
 }
 
 impl RunningRequest {
-    /// Counts a request that starts now.
+    /// Takes charge of a request that was counted when its target was chosen.
     #[must_use]
-    pub fn start(context: &Arc<HostContext>, target: &str, is_job: bool, is_cold: bool) -> Self {
-        context.with_loads(|loads| loads.start(target, is_job, is_cold, boot_time()));
+    pub fn counted(context: &Arc<HostContext>, target: &str, is_job: bool) -> Self {
         Self { context: Arc::clone(context), target: target.to_owned(), is_job }
     }
 }
--- a/src/fleet/fleet_state.rs
+++ b/src/fleet/fleet_state.rs
@@ -206,7 +206,11 @@
             .map(|missing| missing.target.clone())
             .collect();
         self.missing.retain(|missing| missing.gone_at > now);
-        due.iter().fold(false, |is_changed, target| self.drop_target(target) || is_changed)
+        let mut is_changed = false;
+        for target in due {
+            is_changed |= self.drop_target(&target);
+        }
+        is_changed
     }
 
     fn drop_target(&mut self, target: &str) -> bool {
@@ -240,13 +244,12 @@
         (Ok(position), Some(row)) if members[position].row != row => {
             members[position] = MemberEntry { host: stored.key.clone(), row, changed_at: now };
         }
-        (Ok(_), Some(_)) => {}
         (Ok(position), None) => {
             members.remove(position);
         }
         (Err(position), Some(row)) => {
             members.insert(position, MemberEntry { host: stored.key.clone(), row, changed_at: now });
         }
-        (Err(_), None) => {}
+        (Ok(_), Some(_)) | (Err(_), None) => {}
     }
 }
--- a/src/fleet/service_map.rs
+++ b/src/fleet/service_map.rs
@@ -7,7 +7,7 @@
 pub enum RouteKind {
     /// A request may run more than once.
     Repeatable,
-    /// A request may run at most once for each attempt of its caller.
+    /// A request may run at most once for each attempt of its caller; its answer may be a stream of events.
     AtMostOnce,
     /// Requests hand in batch jobs.
     BatchJob,
@@ -33,10 +33,6 @@
     pub path_prefix: String,
     /// What may be repeated.
     pub kind: RouteKind,
-    /// Whether the answer is a stream of events.
-    pub is_streaming: bool,
-    /// Whether a broken stream may be resumed at another target.
-    pub is_resumable: bool,
     /// Whether requests need no key.
     pub is_open: bool,
     /// Longest time that a caller is kept waiting; `None` without a bound.
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -20,7 +20,7 @@
 const HEAD_LIMIT: Duration = Duration::from_millis(2500);
 
 /// Longest silence within a stream; covers a load of weights that runs wait for.
-const GAP_LIMIT: Duration = Duration::from_millis(2000);
+const GAP_LIMIT: Duration = Duration::from_secs(2);
 
 /// Largest body of a failure that is read to keep its connection, in bytes.
 const FAILURE_BODY: usize = 16 * 1024;
@@ -43,10 +43,9 @@
         if self.last_event.is_some_and(|last| id != last + 1) {
             return false;
         }
-        if let Some(version) = version {
-            if let Err(position) = self.versions.binary_search(&version) {
-                self.versions.insert(position, version);
-            }
+        let position = version.and_then(|version| self.versions.binary_search(&version).err());
+        if let (Some(version), Some(position)) = (version, position) {
+            self.versions.insert(position, version);
         }
         self.last_event = Some(id);
         self.data.push(event.data);
@@ -57,6 +56,8 @@
 /// What a run needs.
 #[derive(Debug)]
 pub struct ItemRun {
+    /// Count of the run.
+    pub running: RunningRequest,
     /// Shared parts.
     pub context: Arc<HostContext>,
     /// Header of the job.
@@ -110,8 +111,6 @@
     }
 
     async fn run_counted(&self) -> (RunEnd, u32) {
-        let now = boot_time();
-        let _running = RunningRequest::start(&self.context, &self.target.id, true, self.target.cold_until > now);
         let terms = SendTerms { target: &self.target.id, deadline: self.deadline, resume_after: self.last_event() };
         let Some(request) = self.request() else { return (RunEnd::Impossible, 0) };
         let Ok(request) = (self.context.target_codec.encode)(&request, &terms) else { return (RunEnd::Impossible, 0) };
--- a/src/jobs/job_calls.rs
+++ b/src/jobs/job_calls.rs
@@ -48,7 +48,7 @@
     }
     let started_at = boot_time();
     let Some(header) = new_header(context, &submission) else {
-        return refuse(&job, StoreCallFault::NotSent, started_at);
+        return refuse(&job, &StoreCallFault::NotSent, started_at);
     };
     let mut may_be_stored = false;
     loop {
@@ -69,7 +69,7 @@
             }
             Ok(HeaderWrite::Changed(None)) => may_be_stored = true,
             Err(fault @ (StoreCallFault::NotSent | StoreCallFault::Refused(_))) if !may_be_stored => {
-                return refuse(&job, fault, started_at);
+                return refuse(&job, &fault, started_at);
             }
             Err(fault) => {
                 may_be_stored |= !matches!(fault, StoreCallFault::NotSent | StoreCallFault::Refused(_));
@@ -113,7 +113,7 @@
     json_reply(StatusCode::ACCEPTED, Bytes::from_static(b"{}"))
 }
 
-fn refuse(job: &str, fault: StoreCallFault, started_at: BootTime) -> Response<ReplyBody> {
+fn refuse(job: &str, fault: &StoreCallFault, started_at: BootTime) -> Response<ReplyBody> {
     log::info!(
         job = job, fault = fault.to_string(),
         elapsed_ms = whole_millis(boot_time().saturating_sub(started_at));
@@ -238,13 +238,9 @@
             Ok(HeaderWrite::Changed(None)) => return code_reply(ResultCode::NotFound, None),
             Err(_) => {
                 tokio::time::sleep(STORE_PAUSE).await;
-                match read_header(&context.store, &access.job).await {
-                    Ok(Some(found)) => found,
-                    Ok(None) | Err(_) => {
-                        header.is_ended = false;
-                        (header, version)
-                    }
-                }
+                header.is_ended = false;
+                let read = read_header(&context.store, &access.job).await;
+                read.ok().flatten().unwrap_or((header, version))
             }
         };
         if boot_time() > deadline {
--- a/src/jobs/job_keeper.rs
+++ b/src/jobs/job_keeper.rs
@@ -19,7 +19,7 @@
 const SECOND_CHOICE_WAIT: Duration = Duration::from_millis(1500);
 
 /// Age of the list of hosts beyond which nobody is taken for gone.
-const MEMBERS_AGE_LIMIT: Duration = Duration::from_millis(2000);
+const MEMBERS_AGE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Longest time between two looks at the jobs.
 const LOOK_PERIOD: Duration = Duration::from_millis(250);
--- a/src/jobs/job_plan.rs
+++ b/src/jobs/job_plan.rs
@@ -153,7 +153,7 @@
         self.items[item].state = ItemState::Finished;
     }
 
-    /// Next run to start, which counts as running from now on.
+    /// Next run to start. It counts as running from now on, also in `loads`, so that the next choice sees it.
     pub fn next_start(&mut self, loads: &mut LoadTable, context: &PlanContext<'_>) -> Option<StartOrder> {
         let usable: Vec<TargetEntry> = context
             .view
@@ -170,6 +170,7 @@
         let target = pick_target(&usable, self.groups[group].target.as_deref(), loads, context)?;
         self.groups[group].target = Some(target.id.clone());
         self.items[item].state = ItemState::Running(target.id.clone());
+        loads.start(&target.id, true, target.cold_until > context.now, context.now);
         Some(StartOrder { item, target: target.clone() })
     }
 
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -4,7 +4,7 @@
 
 use tokio::task::JoinSet;
 
-use crate::entry::host_context::HostContext;
+use crate::entry::host_context::{HostContext, RunningRequest};
 use crate::jobs::item_run::{ItemProgress, ItemRun};
 use crate::jobs::job_plan::{ItemState, JobPlan, PlanContext, RunEnd};
 use crate::jobs::job_record::{ItemOutcome, ItemResult, JobHeader, JobSpec};
@@ -216,15 +216,9 @@
         let left = limit.saturating_sub(self.age()).max(Duration::from_millis(1));
         loop {
             let plan = &mut self.plan;
-            let start = self.context.with_loads(|loads| {
-                let start = plan.next_start(loads, &plan_context)?;
-                // Counted here already, so that the next choice sees it.
-                loads.entry(&start.target.id).running += 1;
-                Some(start)
-            });
-            let Some(start) = start else { return };
-            let target = start.target.id.clone();
+            let Some(start) = self.context.with_loads(|loads| plan.next_start(loads, &plan_context)) else { return };
             let run = ItemRun {
+                running: RunningRequest::counted(&self.context, &start.target.id, true),
                 context: Arc::clone(&self.context),
                 header: Arc::clone(&self.header),
                 item: self.spec.items[start.item].clone(),
@@ -233,11 +227,7 @@
                 is_single_version: self.is_single_version,
                 progress: Arc::clone(&self.progress[start.item]),
             };
-            let counted = PlannedStart { context: Arc::clone(&self.context), target };
-            self.runs.spawn(async move {
-                drop(counted);
-                (start.item, run.run().await)
-            });
+            self.runs.spawn(async move { (start.item, run.run().await) });
         }
     }
 
@@ -352,15 +342,3 @@
         }
     }
 }
-
-/// Counts a planned run until the run itself is counted.
-struct PlannedStart {
-    context: Arc<HostContext>,
-    target: TargetId,
-}
-
-impl Drop for PlannedStart {
-    fn drop(&mut self) {
-        self.context.with_loads(|loads| loads.end(&self.target, false));
-    }
-}
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -115,7 +115,7 @@
     deadline: BootTime,
     trace: &mut RequestTrace,
 ) -> Result<Response<ReplyBody>, ResultCode> {
-    let is_repeatable = order.route.kind == RouteKind::Repeatable && !order.route.is_streaming;
+    let is_repeatable = order.route.kind == RouteKind::Repeatable;
     let service = pick_service(order);
     let mut tried: Vec<TargetId> = Vec::new();
     let mut running = FuturesUnordered::new();
@@ -126,18 +126,17 @@
             && (is_repeatable || !trace.may_have_run)
             && trace.refusals < REFUSED_TRIES;
         let mut hedge_after = None;
-        if may_start {
-            if let Some(target) = next_target(context, service, order, &tried) {
-                tried.push(target.id.clone());
-                trace.tries += 1;
-                trace.last_target.clone_from(&target.id);
-                if is_repeatable {
-                    let pace = context.with_loads(|loads| loads.get(&target.id).and_then(|load| load.pace));
-                    hedge_after = Some(hedge_delay(order.route.objective, pace));
-                }
-                running.push(run_attempt(context, order, target, deadline));
-                trace.may_have_run = true;
+        let next = if may_start { next_target(context, service, order, &tried) } else { None };
+        if let Some((target, counted)) = next {
+            tried.push(target.id.clone());
+            trace.tries += 1;
+            trace.last_target.clone_from(&target.id);
+            if is_repeatable {
+                let pace = context.with_loads(|loads| loads.get(&target.id).and_then(|load| load.pace));
+                hedge_after = Some(hedge_delay(order.route.objective, pace));
             }
+            running.push(run_attempt(context, order, target, counted, deadline));
+            trace.may_have_run = true;
         }
         if running.is_empty() {
             return failure.map_or_else(|| Err(final_code(trace)), Ok);
@@ -147,12 +146,11 @@
             None => Some(running.next().await),
         };
         match ended {
-            // Overdue: the loop starts another try beside the first.
-            None => {}
+            // Overdue or lost: the loop starts another try.
+            None | Some(Some(AttemptEnd::Lost)) => {}
             Some(None) => return Err(final_code(trace)),
             Some(Some(AttemptEnd::Answered(response))) => return Ok(response),
             Some(Some(AttemptEnd::TargetFailed(response))) => failure = Some(response),
-            Some(Some(AttemptEnd::Lost)) => {}
             Some(Some(AttemptEnd::NotRun)) => {
                 trace.tries -= 1;
                 trace.refusals += 1;
@@ -187,12 +185,13 @@
     services.first().map_or("", |weighted| weighted.service.as_str())
 }
 
+/// Chooses a target, which counts the request as running from then on.
 fn next_target(
     context: &Arc<HostContext>,
     service: &str,
     order: &RelayOrder<'_>,
     tried: &[TargetId],
-) -> Option<TargetEntry> {
+) -> Option<(TargetEntry, RunningRequest)> {
     // The newest view, since a target may have begun to leave since the request was admitted.
     let view = context.view();
     let now = boot_time();
@@ -206,17 +205,23 @@
         cold_rate: cold_rate.unwrap_or_default(),
         now,
     };
-    context.with_loads(|loads| choose_target(view.usable_targets(service), tried, loads, &choice).cloned())
+    let target = context.with_loads(|loads| {
+        let target = choose_target(view.usable_targets(service), tried, loads, &choice).cloned()?;
+        loads.start(&target.id, false, target.cold_until > now, now);
+        Some(target)
+    })?;
+    let counted = RunningRequest::counted(context, &target.id, false);
+    Some((target, counted))
 }
 
 async fn run_attempt(
     context: &Arc<HostContext>,
     order: &RelayOrder<'_>,
     target: TargetEntry,
+    running: RunningRequest,
     deadline: BootTime,
 ) -> AttemptEnd {
     let now = boot_time();
-    let running = RunningRequest::start(context, &target.id, false, target.cold_until > now);
     let started = Instant::now();
     let terms = SendTerms { target: &target.id, deadline: deadline.saturating_sub(now), resume_after: None };
     let Ok(request) = (context.target_codec.encode)(&order.request, &terms) else { return AttemptEnd::NotRun };
--- /dev/null
+++ b/tests/integration/duties.rs
@@ -0,0 +1,4 @@
+//! Duties of one host at a time.
+
+mod lease;
+mod weights;
--- /dev/null
+++ b/tests/integration/duties/lease.rs
@@ -0,0 +1,163 @@
+//! Lease of the duties, with a store in memory and hosts that pause, lose answers and stop.
+
+use camphorspring::duties::duty_lease::{DutyLease, LeaseRow};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use crate::fleet::builders::at;
+
+/// Turn time of the tests in milliseconds.
+const TURN_MS: u64 = 3000;
+
+/// One host and what happens to it.
+struct LeaseHost {
+    name: String,
+    lease: DutyLease,
+    paused_until: u64,
+    cut_until: u64,
+}
+
+/// Row and its version.
+#[derive(Default)]
+struct LeaseStore {
+    row: Option<LeaseRow>,
+    version: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Fault {
+    Pause { host: usize, millis: u64 },
+    Cut { host: usize, millis: u64 },
+    Stop { host: usize },
+    LoseAnswer,
+}
+
+fn faults() -> impl Strategy<Value = Vec<(u64, Fault)>> {
+    let fault = prop_oneof![
+        (0..3_usize, 100..9000_u64).prop_map(|(host, millis)| Fault::Pause { host, millis }),
+        (0..3_usize, 100..9000_u64).prop_map(|(host, millis)| Fault::Cut { host, millis }),
+        (0..3_usize).prop_map(|host| Fault::Stop { host }),
+        Just(Fault::LoseAnswer),
+    ];
+    proptest::collection::vec((0..40_000_u64, fault), 0..12)
+}
+
+/// Acts of a run: time, host and fence.
+fn play(script: &[(u64, Fault)]) -> Vec<(u64, usize, u64)> {
+    let mut store = LeaseStore::default();
+    let new_lease = |name: &str, life: u64| DutyLease::new(name, life, at(TURN_MS));
+    let mut hosts: Vec<LeaseHost> = (0..3)
+        .map(|index| {
+            let name = format!("h{index}");
+            LeaseHost { lease: new_lease(&name, 1), name, paused_until: 0, cut_until: 0 }
+        })
+        .collect();
+    let mut acts = Vec::new();
+    let mut lost_answers = 0;
+    for now in (0..45_000_u64).step_by(50) {
+        for (_, fault) in script.iter().filter(|(time, _)| (now..now + 50).contains(time)) {
+            match fault {
+                Fault::Pause { host, millis } => hosts[*host].paused_until = now + millis,
+                Fault::Cut { host, millis } => hosts[*host].cut_until = now + millis,
+                Fault::LoseAnswer => lost_answers += 1,
+                Fault::Stop { host } => {
+                    let host = &mut hosts[*host];
+                    let release = host.lease.release(now).filter(|_| now >= host.cut_until);
+                    if let Some(write) = release.filter(|write| write.version == store.version) {
+                        store.version += 1;
+                        store.row = Some(write.row);
+                    }
+                    host.lease = new_lease(&host.name, now + 2);
+                    host.paused_until = now + 500;
+                }
+            }
+        }
+        for (index, host) in hosts.iter_mut().enumerate() {
+            if now < host.paused_until {
+                continue;
+            }
+            if now >= host.cut_until {
+                let row = store.row.clone().map(|row| (row, store.version));
+                host.lease.observe(row, at(now));
+                if let Some(write) = host.lease.due_write(at(now), now, true) {
+                    let is_applied = write.version == store.version;
+                    if is_applied {
+                        store.version += 1;
+                        store.row = Some(write.row.clone());
+                    }
+                    if is_applied && lost_answers == 0 {
+                        host.lease.written(write.row, store.version, at(now));
+                    } else {
+                        lost_answers = usize::saturating_sub(lost_answers, 1);
+                        host.lease.failed(at(now));
+                    }
+                }
+            }
+            if let Some(fence) = host.lease.fence(at(now)) {
+                acts.push((now, index, fence));
+            }
+        }
+    }
+    acts
+}
+
+/// Acts that break what receivers without a check of fences judge.
+fn violations(acts: &[(u64, usize, u64)]) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut tenures: Vec<(usize, u64, u64, u64)> = Vec::new();
+    for (time, host, fence) in acts {
+        match tenures.last_mut() {
+            Some(last) if last.0 == *host && last.1 == *fence => last.3 = *time,
+            Some(last) if *fence <= last.1 => found.push(format!("fence {fence} of {host} after {last:?}")),
+            _ => tenures.push((*host, *fence, *time, *time)),
+        }
+    }
+    for window in tenures.windows(3) {
+        let (first, other, again) = (&window[0], &window[1], &window[2]);
+        if first.0 == again.0 && other.0 != first.0 && again.2 < first.3 + TURN_MS {
+            found.push(format!("turns {window:?}"));
+        }
+    }
+    found
+}
+
+/// Guards against a lease that nobody holds while all is well, and against a holder that changes without a cause.
+#[gtest]
+fn one_host_holds_the_lease_while_nothing_fails() {
+    let acts = play(&[]);
+    let first = acts[0];
+    expect_that!(first.0, le(200));
+    expect_that!(acts.iter().all(|act| act.1 == first.1 && act.2 == 1), eq(true));
+    expect_that!(acts.len(), gt(880));
+}
+
+/// Guards against a duty that stands still long after its holder died.
+#[gtest]
+fn lease_of_a_dead_holder_is_taken_over() {
+    let holder = play(&[])[0].1;
+    let acts = play(&[(10_000, Fault::Pause { host: holder, millis: 60_000 })]);
+    let next = acts.iter().find(|act| act.1 != holder).expect("another host takes over");
+    // The calls of the former holder have ended by then; the silence is counted from its last renewal.
+    expect_that!(next.0, all!(gt(10_000 + TURN_MS / 3), lt(10_000 + TURN_MS + 500)));
+}
+
+/// Guards against a planned stop after which duties wait for the lease to expire.
+#[gtest]
+fn released_lease_is_taken_at_once() {
+    let holder = play(&[])[0].1;
+    let acts = play(&[(10_000, Fault::Stop { host: holder })]);
+    let next = acts.iter().find(|act| act.1 != holder).expect("another host takes over");
+    expect_that!(next.0, lt(10_300));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Guards against two holders that alternate within the turn time, or act with a fence that is not higher, after
+    /// any series of pauses, cuts, planned stops and lost answers.
+    #[test]
+    fn holders_never_alternate(script in faults()) {
+        let found = violations(&play(&script));
+        prop_assert!(found.is_empty(), "{found:?}");
+    }
+}
--- /dev/null
+++ b/tests/integration/fleet.rs
@@ -0,0 +1,5 @@
+//! What a host knows of its installation.
+
+pub mod builders;
+mod load;
+mod state;
--- /dev/null
+++ b/tests/integration/fleet/builders.rs
@@ -0,0 +1,55 @@
+//! Views and entries for tests.
+
+use std::time::Duration;
+
+use camphorspring::clock::BootTime;
+use camphorspring::fleet::fleet_view::{FleetView, LoadedModel, MemberEntry, NamedVersion, TargetEntry, TargetState};
+use camphorspring::fleet::member_row::MemberRow;
+
+/// A moment in tests, in milliseconds since the boot.
+pub fn at(millis: u64) -> BootTime {
+    Duration::from_millis(millis)
+}
+
+/// Ready engine with twelve slots, in domain `north`, with model `m` at `version`.
+pub fn engine(id: &str, version: u64) -> TargetEntry {
+    TargetEntry {
+        id: id.to_owned(),
+        started_ms: Some(1),
+        service: "models".to_owned(),
+        address: "127.0.0.1:9".parse().expect("the address is valid"),
+        domain: "north".to_owned(),
+        slots: 12,
+        state: TargetState::Ready,
+        is_cheap: false,
+        cold_until: BootTime::ZERO,
+        models: vec![LoadedModel { model: "m".to_owned(), version }],
+    }
+}
+
+/// Live host with an incarnation.
+pub fn member(host: &str, incarnation: u64, changed_at: BootTime) -> MemberEntry {
+    let row = MemberRow { incarnation, domain: "north".to_owned(), beat: 1, ..MemberRow::default() };
+    MemberEntry { host: host.to_owned(), row, changed_at }
+}
+
+/// View with targets and hosts, all seen at `now`.
+pub fn view(targets: Vec<TargetEntry>, hosts: &[&str], now: BootTime) -> FleetView {
+    let mut members: Vec<MemberEntry> = hosts.iter().map(|host| member(host, 1, now)).collect();
+    members.sort_by(|one, other| one.host.cmp(&other.host));
+    let mut targets = targets;
+    targets.sort_by(|one, other| one.id.cmp(&other.id));
+    FleetView {
+        targets: targets.into(),
+        members: members.into(),
+        members_read_at: now,
+        targets_read_at: now,
+        services_read_at: now,
+        ..FleetView::default()
+    }
+}
+
+/// Named version of model `m`.
+pub fn named(version: u64) -> NamedVersion {
+    NamedVersion { model: "m".to_owned(), version }
+}
--- /dev/null
+++ b/tests/integration/fleet/load.rs
@@ -0,0 +1,33 @@
+//! Load of targets as one host sees it.
+
+use camphorspring::fleet::target_load::{LoadTable, cold_allowance};
+use googletest::prelude::*;
+
+use crate::fleet::builders::at;
+
+/// Guards against hosts that together send a cold target more than it bears, whatever their number.
+#[gtest]
+fn cold_allowances_sum_to_the_rate_at_most() {
+    for count in [1_usize, 2, 9, 10, 11, 12, 86, 300] {
+        let names: Vec<String> = (0..count).map(|index| format!("h{index}")).collect();
+        let hosts: Vec<&str> = names.iter().map(String::as_str).collect();
+        let sum: u32 = hosts.iter().map(|host| cold_allowance(11.0, "e1", host, &hosts)).sum();
+        expect_that!(sum, le(11), "with {count} hosts");
+        expect_that!(sum, ge(1), "with {count} hosts");
+    }
+}
+
+/// Guards against a target that stays paused after it served again, and against pauses that grow without end.
+#[gtest]
+fn pauses_grow_to_a_bound_and_end_with_a_success() {
+    let mut loads = LoadTable::new();
+    let pauses: Vec<u128> = (0..6)
+        .map(|_| {
+            loads.record_failure("e1", at(1000));
+            loads.entry("e1").paused_until.as_millis() - 1000
+        })
+        .collect();
+    expect_that!(pauses, eq(&vec![250, 500, 1000, 2000, 2000, 2000]));
+    loads.record_success("e1", Some(0.03));
+    expect_that!(loads.entry("e1").paused_until, eq(at(0)));
+}
--- /dev/null
+++ b/tests/integration/jobs.rs
@@ -0,0 +1,4 @@
+//! Batch jobs.
+
+mod plan;
+mod takeover;
--- /dev/null
+++ b/tests/integration/relay.rs
@@ -0,0 +1,4 @@
+//! Requests between callers and targets.
+
+mod attempts;
+mod events;
