Move runs off slow engines, save long output, retake the lease on one machine

Cause: a step ends with its slowest item. Change: the pace of each run is measured over six events; a run on an engine 1.7 times slower than the median resumes on one with a free slot. A new life of the lease's holder on the same machine retakes it at once. A result that cannot be read back no longer moves the header on, which could have listed an item twice.

--- a/src/duties/duty_keeper.rs
+++ b/src/duties/duty_keeper.rs
@@ -60,7 +60,8 @@
     #[must_use]
     pub fn new(context: Arc<HostContext>, store: Arc<RowStore>, calls: DutyCalls) -> Arc<Self> {
         let turn = Duration::from_millis(u64::from(context.settings.duty_turn_ms));
-        let lease = DutyLease::new(&context.settings.host, context.incarnation, turn);
+        let machine = format!("{}@{}", context.settings.host, context.settings.caller_address);
+        let lease = DutyLease::new(&machine, context.incarnation, turn);
         Arc::new(Self {
             context,
             store,
--- a/src/duties/duty_lease.rs
+++ b/src/duties/duty_lease.rs
@@ -76,7 +76,8 @@
 const CONFIRMATION_LIMIT: Duration = Duration::from_millis(1500);
 
 impl DutyLease {
-    /// Lease that is not known yet; `turn` is the time within which holders must not alternate.
+    /// Lease that is not known yet. `host` names the machine, so that a new machine under an old name is another holder;
+    /// `turn` is the time within which holders must not alternate.
     #[must_use]
     pub fn new(host: &str, incarnation: Incarnation, turn: Duration) -> Self {
         Self {
@@ -159,9 +160,12 @@
         }
         let silence = self.turn + LEASE_GUARD;
         let is_silent = now.saturating_sub(self.unchanged_since) >= silence;
+        if self.row.holder == self.host {
+            // A new life on the same machine is the same holder to all receivers, and no call of its former life, whose
+            // process is gone, can follow.
+            return true;
+        }
         if !self.row.holder.is_empty() {
-            // A new life of the former holder counts as the same machine, and still waits like all others: calls of
-            // the former life may be under way.
             return is_silent;
         }
         let own_end =
@@ -173,7 +177,7 @@
         let oldest = store_ms.saturating_sub(whole_millis(self.turn + LEASE_GUARD));
         let mut former: Vec<FormerHolder> =
             self.row.former.iter().filter(|former| former.until_ms >= oldest).cloned().collect();
-        if !self.row.holder.is_empty() {
+        if !self.row.holder.is_empty() && self.row.holder != self.host {
             former.retain(|known| known.host != self.row.holder);
             former.push(FormerHolder { host: self.row.holder.clone(), until_ms: oldest });
         }
--- a/src/fleet/target_load.rs
+++ b/src/fleet/target_load.rs
@@ -15,6 +15,9 @@
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
+/// Pause of a target that was found slow.
+const SLOW_PAUSE: Duration = Duration::from_secs(3);
+
 /// Share of a new measurement in the smoothed pace of a target.
 const PACE_SHARE: f64 = 0.2;
 
@@ -120,10 +123,12 @@
     /// Records that a target served well at this pace, in seconds.
     pub fn record_success(&mut self, target: &str, pace: Option<f64>) {
         let load = self.entry(target);
-        load.failures = 0;
-        load.paused_until = BootTime::ZERO;
+        if load.failures > 0 {
+            load.failures = 0;
+            load.paused_until = BootTime::ZERO;
+        }
         if let Some(pace) = pace {
-            load.pace = Some(load.pace.map_or(pace, |known| known + PACE_SHARE * (pace - known)));
+            self.record_pace(target, pace);
         }
     }
 
@@ -135,6 +140,20 @@
         load.paused_until = now + pause;
     }
 
+    /// Records that a target is much slower than the others; it gets no new work until it may have recovered.
+    pub fn record_slow(&mut self, target: &str, now: BootTime) {
+        let load = self.entry(target);
+        load.paused_until = load.paused_until.max(now + SLOW_PAUSE);
+        // Measured anew with the next request.
+        load.pace = None;
+    }
+
+    /// Records a measured pace, in seconds per event or request.
+    pub fn record_pace(&mut self, target: &str, pace: f64) {
+        let load = self.entry(target);
+        load.pace = Some(load.pace.map_or(pace, |known| known + PACE_SHARE * (pace - known)));
+    }
+
     /// Records that a full target wants no more work for a moment.
     pub fn record_full(&mut self, target: &str, now: BootTime) {
         let load = self.entry(target);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -9,6 +9,7 @@
 pub mod job_calls;
 pub mod job_keeper;
 pub mod job_plan;
+pub mod job_progress;
 pub mod job_record;
 pub mod job_runner;
 pub mod job_store;
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -9,18 +9,22 @@
 
 use crate::entry::host_context::{HostContext, RunningRequest};
 use crate::fleet::fleet_view::TargetEntry;
-use crate::jobs::job_plan::RunEnd;
+use crate::fleet::target_load::LoadTable;
+use crate::jobs::job_plan::{PlanContext, RunEnd, should_move};
 use crate::jobs::job_record::{ItemSpec, JobHeader};
 use crate::prelude::*;
 use crate::relay::connection_pool::{Exchange, ExchangeFault, read_body};
 use crate::relay::event_reader::{EventReader, StreamEvent};
 use crate::relay::target_codec::{SendTerms, TargetRequest};
 
-/// Longest wait for the head of an answer; a loaded engine starts a run within a second.
-const HEAD_LIMIT: Duration = Duration::from_millis(2500);
+/// Longest wait for the head of an answer. Runs are only sent to free slots, where they start within milliseconds.
+const HEAD_LIMIT: Duration = Duration::from_millis(1200);
 
-/// Longest silence within a stream; covers a load of weights that runs wait for.
-const GAP_LIMIT: Duration = Duration::from_secs(2);
+/// Longest silence within a stream: many times the gap between events, also at a slow engine.
+const GAP_LIMIT: Duration = Duration::from_secs(1);
+
+/// Events over which the pace of a run is measured.
+const PACE_EVENTS: u32 = 6;
 
 /// Largest body of a failure that is read to keep its connection, in bytes.
 const FAILURE_BODY: usize = 16 * 1024;
@@ -82,10 +86,8 @@
         let now = boot_time();
         let target = self.target.id.as_str();
         self.context.with_loads(|loads| match end {
-            RunEnd::Complete => {
-                let pace = (events > 0).then(|| started.elapsed().as_secs_f64() / f64::from(events));
-                loads.record_success(target, pace);
-            }
+            RunEnd::Complete => loads.record_success(target, None),
+            RunEnd::Slow => loads.record_slow(target, now),
             RunEnd::Refused => loads.record_full(target, now),
             RunEnd::Broken => loads.record_failure(target, now),
             RunEnd::Misdirected | RunEnd::Failed | RunEnd::Impossible => {}
@@ -164,6 +166,7 @@
         }
         let mut reader = EventReader::new();
         let mut events = 0;
+        let mut measured_from = Instant::now();
         loop {
             let frame = match tokio::time::timeout(GAP_LIMIT, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
@@ -183,12 +186,46 @@
                     return (RunEnd::Broken, events);
                 }
                 events += 1;
+                if events == 1 {
+                    // The time to the first event is that of the prompt.
+                    measured_from = Instant::now();
+                } else if events % PACE_EVENTS == 1 {
+                    let pace = measured_from.elapsed().as_secs_f64() / f64::from(PACE_EVENTS);
+                    measured_from = Instant::now();
+                    if self.is_too_slow(pace) {
+                        return (RunEnd::Slow, events);
+                    }
+                }
             }
         }
         self.context.pool.give_back(connection, decoded.idle_limit);
         (RunEnd::Complete, events)
     }
 
+    /// Records the pace of the target; returns whether the run should go on elsewhere.
+    fn is_too_slow(&self, pace: f64) -> bool {
+        let view = self.context.view();
+        let hosts: Vec<&str> = Vec::new();
+        let plan_context = PlanContext {
+            view: &view,
+            service: &self.target.service,
+            cold_rate: 0.0,
+            host: &self.context.settings.host,
+            domain: &self.context.settings.failure_domain,
+            hosts: &hosts,
+            now: boot_time(),
+        };
+        let header = &self.header;
+        let allows = |target: &TargetEntry, loads: &LoadTable| {
+            header.model.is_empty()
+                || loads.model_version(target, &header.model).is_some_and(|version| version >= header.least_version)
+        };
+        self.context.with_loads(|loads| {
+            loads.record_pace(&self.target.id, pace);
+            !self.is_single_version && should_move(pace, &self.target.id, &allows, loads, &plan_context)
+        })
+    }
+
     /// Whether output of this version may be used; also remembers what the target has.
     fn accepts(&self, version: Option<WeightVersion>) -> bool {
         let Some(version) = version else { return self.header.model.is_empty() };
--- a/src/jobs/job_calls.rs
+++ b/src/jobs/job_calls.rs
@@ -104,6 +104,7 @@
         limit_ms: whole_millis(route.job_limit),
         owner,
         owner_incarnation,
+        owner_changes: 0,
         listed: 0,
         is_ended: false,
     })
--- a/src/jobs/job_keeper.rs
+++ b/src/jobs/job_keeper.rs
@@ -134,6 +134,7 @@
     let mut header = known.header;
     let former = std::mem::replace(&mut header.owner, context.settings.host.clone());
     header.owner_incarnation = context.incarnation;
+    header.owner_changes += 1;
     let result = replace_header(&context.store, &header, version).await;
     let now = boot_time();
     let outcome = match result {
--- a/src/jobs/job_plan.rs
+++ b/src/jobs/job_plan.rs
@@ -30,6 +30,8 @@
     Misdirected,
     /// The connection broke or fell silent; the run can be resumed elsewhere.
     Broken,
+    /// The target is much slower than the others, which have room; the run is resumed there.
+    Slow,
     /// The target reported that the run failed.
     Failed,
     /// The target reported that the item can never be done.
@@ -195,7 +197,7 @@
             RunEnd::Complete => (ItemState::Finished, false),
             RunEnd::Impossible => (ItemState::Finished, true),
             RunEnd::Refused | RunEnd::Misdirected => (ItemState::Waiting(now + REFUSED_WAIT), false),
-            RunEnd::Broken => (ItemState::Waiting(now), false),
+            RunEnd::Broken | RunEnd::Slow => (ItemState::Waiting(now), false),
             RunEnd::Failed => {
                 plan_item.failures += 1;
                 let is_last = plan_item.failures >= self.attempts;
@@ -207,6 +209,44 @@
     }
 }
 
+/// Factor by which a run must be slower than usual to be moved. A resumed run costs one read of its prompt and output,
+/// a few milliseconds, so that it pays for all but the last events.
+const SLOW_FACTOR: f64 = 1.7;
+
+/// Whether a run at this pace, in seconds per event, should go on elsewhere: it is much slower than the usual pace of
+/// the service's targets, and one of usual pace has a free slot.
+#[must_use]
+pub fn should_move(
+    pace: f64,
+    target: &str,
+    allows: &dyn Fn(&TargetEntry, &LoadTable) -> bool,
+    loads: &LoadTable,
+    context: &PlanContext<'_>,
+) -> bool {
+    let Some(usual) = usual_pace(loads, context) else { return false };
+    let limit = usual * SLOW_FACTOR;
+    pace > limit
+        && context.view.usable_targets(context.service).any(|other| {
+            let load = loads.get(&other.id);
+            let is_paused = load.is_some_and(|load| load.paused_until > context.now);
+            let is_slow = load.and_then(|load| load.pace).is_some_and(|pace| pace > limit);
+            other.id != target
+                && !is_paused
+                && !is_slow
+                && other.cold_until <= context.now
+                && allows(other, loads)
+                && used_slots(other, loads, context) < other.slots
+        })
+}
+
+/// Median of the paces of the service's targets.
+fn usual_pace(loads: &LoadTable, context: &PlanContext<'_>) -> Option<f64> {
+    let targets = context.view.usable_targets(context.service);
+    let mut paces: Vec<f64> = targets.filter_map(|target| loads.get(&target.id)?.pace).collect();
+    paces.sort_by(f64::total_cmp);
+    paces.get(paces.len() / 2).copied()
+}
+
 /// Slots of a target that are taken, by this host now and by others as they published last.
 fn used_slots(target: &TargetEntry, loads: &LoadTable, context: &PlanContext<'_>) -> u32 {
     let own = loads.get(&target.id).map_or(0, |load| load.running);
--- a/src/jobs/job_record.rs
+++ b/src/jobs/job_record.rs
@@ -78,6 +78,8 @@
     pub owner: HostId,
     /// Life of the owner.
     pub owner_incarnation: Incarnation,
+    /// Times that another host, or another life of its owner, took it over.
+    pub owner_changes: u32,
     /// Results that are listed.
     pub listed: u32,
     /// Whether its caller ended it.
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -7,6 +7,7 @@
 use crate::entry::host_context::{HostContext, RunningRequest};
 use crate::jobs::item_run::{ItemProgress, ItemRun};
 use crate::jobs::job_plan::{ItemState, JobPlan, PlanContext, RunEnd};
+use crate::jobs::job_progress::{ProgressSaver, SAVE_PERIOD, read_progress, save_parts};
 use crate::jobs::job_record::{ItemOutcome, ItemResult, JobHeader, JobSpec};
 use crate::jobs::job_store::{
     HeaderWrite, append_results, plan_append, read_header, read_results, read_spec, replace_header,
@@ -56,6 +57,8 @@
     runs: JoinSet<(usize, RunEnd)>,
     is_single_version: bool,
     append_after: BootTime,
+    saver: ProgressSaver,
+    save_after: BootTime,
 }
 
 /// Runs a job to its end.
@@ -82,10 +85,17 @@
     let spec = read_spec(&context.store, &header.job).await?;
     let services = context.view().services.clone();
     let route = services.as_ref().and_then(|services| services.route_named(&header.route));
+    // A new job has nothing to read back.
+    let is_new = header.owner_changes == 0;
+    let saved = if is_new { Vec::new() } else { read_progress(&context.store, &header.job, &spec).await? };
+    let mut saved = saved.into_iter();
+    let progress: Vec<ItemProgress> = spec.items.iter().map(|_| saved.next().unwrap_or_default()).collect();
     let mut runner = JobRunner {
         context: Arc::clone(context),
         plan: JobPlan::new(&spec, route.map_or(1, |route| route.attempts)),
-        progress: spec.items.iter().map(|_| Arc::default()).collect(),
+        saver: ProgressSaver::new(progress.iter().map(|item| item.data.len()).collect()),
+        save_after: boot_time() + SAVE_PERIOD,
+        progress: progress.into_iter().map(|item| Arc::new(Mutex::new(item))).collect(),
         ready: Vec::new(),
         runs: JoinSet::new(),
         is_single_version: route.is_some_and(|route| route.is_single_version),
@@ -94,7 +104,8 @@
         version,
         spec: Arc::new(spec),
     };
-    runner.mark_listed(0).await?;
+    let header = Arc::clone(&runner.header);
+    runner.mark_listed(0, header.listed).await?;
     Ok(runner)
 }
 
@@ -109,6 +120,7 @@
             if let Some(end) = self.list_ready().await {
                 return end;
             }
+            self.save_progress().await;
             self.wait_event().await;
         }
     }
@@ -129,13 +141,14 @@
         if !self.is_own(&header) {
             return Some(RunnerEnd::OwnerChanged);
         }
-        let listed_before = self.header.listed;
+        if let Err(fault) = self.mark_listed(self.header.listed, header.listed).await {
+            // The old version stays, so that the next append meets the conflict again.
+            log::warn!(job = header.job, fault = fault.to_string(); "job_results_unreadable");
+            self.append_after = boot_time() + STORE_RETRY;
+            return None;
+        }
         self.header = Arc::new(header);
         self.version = version;
-        if self.header.listed > listed_before && self.mark_listed(listed_before).await.is_err() {
-            // Read again with the next look; until then nothing is appended, since the condition would not hold.
-            self.version = 0;
-        }
         None
     }
 
@@ -143,10 +156,10 @@
         header.owner == self.context.settings.host && header.owner_incarnation == self.context.incarnation
     }
 
-    /// Reads what is listed from a position on, and takes it out of the plan.
-    async fn mark_listed(&mut self, from: u32) -> Result<(), StoreCallFault> {
+    /// Reads what is listed from one position to another, and takes it out of the plan.
+    async fn mark_listed(&mut self, from: u32, to: u32) -> Result<(), StoreCallFault> {
         let mut position = from;
-        while position < self.header.listed {
+        while position < to {
             let results = read_results(&self.context.store, &self.header.job, position).await?;
             if results.is_empty() {
                 return Err(StoreCallFault::Malformed);
@@ -280,9 +293,6 @@
         if self.ready.is_empty() || now < self.append_after {
             return None;
         }
-        if self.version == 0 {
-            return self.resync().await;
-        }
         let append = plan_append(&self.header, &self.ready);
         let count = append.count;
         match append_results(&self.context.store, &self.header, self.version, append).await {
@@ -317,6 +327,30 @@
         }
     }
 
+    /// Saves the output of long items that still run, when it is due.
+    async fn save_progress(&mut self) {
+        let now = boot_time();
+        if now < self.save_after || self.is_single_version {
+            return;
+        }
+        self.save_after = now + SAVE_PERIOD;
+        let mut parts = Vec::new();
+        for item in 0..self.progress.len() {
+            if matches!(self.plan.state(item), ItemState::Running(_) | ItemState::Waiting(_)) {
+                let progress = self.progress[item].lock().unwrap_or_else(PoisonError::into_inner);
+                parts.extend(self.saver.take_part(item, &progress));
+            }
+        }
+        if parts.is_empty() {
+            return;
+        }
+        let (store, incarnation) = (&self.context.store, self.context.incarnation);
+        if let Err(fault) = save_parts(store, &self.header.job, incarnation, &mut self.saver, &parts).await {
+            log::warn!(job = self.header.job, fault = fault.to_string(), parts = parts.len(); "job_save_failed");
+            self.saver.put_back(&parts);
+        }
+    }
+
     async fn resync(&mut self) -> Option<RunnerEnd> {
         match read_header(&self.context.store, &self.header.job).await {
             Ok(Some((header, version))) => self.adopt_header(header, version).await,
@@ -330,6 +364,8 @@
 
     /// Gives the job up, so that another host takes it at once.
     async fn release(&mut self) -> Option<RunnerEnd> {
+        self.save_after = BootTime::ZERO;
+        self.save_progress().await;
         let mut header = JobHeader::clone(&self.header);
         header.owner.clear();
         match replace_header(&self.context.store, &header, self.version).await {
--- a/tests/integration/jobs/takeover.rs
+++ b/tests/integration/jobs/takeover.rs
@@ -22,6 +22,7 @@
         limit_ms: 40_000,
         owner: owner.to_owned(),
         owner_incarnation,
+        owner_changes: 0,
         listed: 0,
         is_ended: false,
     };
