Count a load of weights as under way for one second

Cause: an order held its place among the loads until the engine's entry showed the version, up to two seconds after it was there; three models with three orders for each version need more orders a second than that allowed. Change: an order counts as loading for one second, the time of a load, and stays pending until its engine shows it.

--- a/src/duties/weight_rollout.rs
+++ b/src/duties/weight_rollout.rs
@@ -30,6 +30,9 @@
     pub given_at: BootTime,
 }
 
+/// Time that a load takes; the entry of the engine shows it up to two seconds later.
+const LOAD_TIME: Duration = Duration::from_secs(1);
+
 /// An order that is not seen to be carried out within this time is given again.
 pub const ORDER_PATIENCE: Duration = Duration::from_secs(4);
 
@@ -55,7 +58,7 @@
 ) -> Vec<WeightOrder> {
     let at_once = (engines.len() / LOADING_PART).max(1);
     let loading = |target: &TargetEntry| pending.iter().any(|order| order.target == target.id);
-    let mut free = at_once.saturating_sub(pending.iter().filter(|order| is_fresh(order, now)).count());
+    let mut free = at_once.saturating_sub(pending.iter().filter(|order| is_loading(order, now)).count());
     let mut orders: Vec<WeightOrder> = Vec::new();
     let mut behind = models_behind(engines, models, named, pending);
     // The model that is furthest behind goes first, so that no trainer waits for the others.
@@ -83,8 +86,8 @@
     orders
 }
 
-fn is_fresh(order: &PendingOrder, now: BootTime) -> bool {
-    now.saturating_sub(order.given_at) < ORDER_PATIENCE
+fn is_loading(order: &PendingOrder, now: BootTime) -> bool {
+    now.saturating_sub(order.given_at) < LOAD_TIME
 }
 
 #[derive(Debug)]
