--- a/tests/integration/duties/lease.rs
+++ b/tests/integration/duties/lease.rs
@@ -150,6 +150,21 @@
     expect_that!(next.0, lt(10_300));
 }
 
+/// Guards against duties that stand still for a whole turn after all hosts lost power, though the holder is back.
+#[gtest]
+fn same_machine_retakes_its_lease_at_once() {
+    let mut first = DutyLease::new("h1", 1, at(TURN_MS));
+    first.observe(None, at(0));
+    let write = first.due_write(at(0), 0, true).expect("the lease is free");
+    let mut again = DutyLease::new("h1", 2, at(TURN_MS));
+    again.observe(Some((write.row.clone(), 1)), at(1000));
+    let retaken = again.due_write(at(1000), 1000, true).expect("the machine held it");
+    expect_that!((write.row.fence, retaken.row.fence), eq((1, 2)));
+    let mut other = DutyLease::new("h2", 1, at(TURN_MS));
+    other.observe(Some((write.row, 1)), at(1000));
+    expect_that!(other.due_write(at(1000), 1000, true), none());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
--- /dev/null
+++ b/tests/integration/jobs/progress.rs
@@ -0,0 +1,74 @@
+//! Saved output of items.
+
+use camphorspring::jobs::item_run::ItemProgress;
+use camphorspring::jobs::job_progress::{ProgressPart, ProgressSaver, apply_part, read_progress, save_parts};
+use camphorspring::jobs::job_record::JobSpec;
+use camphorspring::relay::event_reader::StreamEvent;
+use googletest::prelude::*;
+
+use super::results::{item, memory_store, wait_for};
+
+fn output(events: u64, version: u64) -> ItemProgress {
+    let mut progress = ItemProgress::default();
+    for id in 1..=events {
+        let event = StreamEvent { id: Some(id), data: format!("token {id}"), version: None };
+        assert!(progress.add(event, Some(version)));
+    }
+    progress
+}
+
+/// Guards against events that are missing or doubled in an output.
+#[gtest]
+fn output_takes_events_in_order_only() {
+    let mut progress = output(3, 1);
+    let event = |id| StreamEvent { id, data: "x".to_owned(), version: None };
+    let taken = [Some(3), Some(5), None, Some(4)].map(|id| progress.add(event(id), Some(2)));
+    expect_that!(taken, eq([false, false, false, true]));
+    expect_that!(progress.versions, eq(&vec![1, 2]));
+}
+
+/// Guards against an output that is put together with a gap, twice, or in the wrong order.
+#[gtest]
+fn parts_continue_an_output_only() {
+    let part = |index: usize, data: &[&str]| ProgressPart {
+        item: 0,
+        index,
+        last_event: (index + data.len()) as u64,
+        data: data.iter().map(|text| (*text).to_owned()).collect(),
+        versions: vec![1],
+    };
+    let mut progress = ItemProgress::default();
+    for part in [part(2, &["c"]), part(0, &["a", "b"]), part(1, &["b", "c"]), part(0, &["a"]), part(5, &["f"])] {
+        apply_part(&mut progress, &part);
+    }
+    expect_that!(progress.data, eq(&vec!["a", "b", "c"]));
+    expect_that!(progress.last_event, some(eq(3)));
+}
+
+/// Guards against long items that start again from nothing after all hosts lost power.
+#[gtest]
+fn saved_output_is_read_back() {
+    let store = memory_store();
+    let spec = JobSpec {
+        step: 0,
+        model: "m".to_owned(),
+        least_version: 1,
+        group_target: 1,
+        items: (0..3).map(|index| item(index)).collect(),
+    };
+    let mut saver = ProgressSaver::new(vec![0; 3]);
+    let mut saved = Vec::new();
+    for (first, second) in [(10, 40), (50, 90)] {
+        let outputs = [output(first, 1), output(second, 2), output(0, 1)];
+        let parts: Vec<ProgressPart> =
+            outputs.iter().enumerate().filter_map(|(index, output)| saver.take_part(index, output)).collect();
+        saved.push(parts.iter().map(|part| (part.item, part.index, part.data.len())).collect::<Vec<_>>());
+        wait_for(save_parts(&store, "j", 7, &mut saver, &parts)).expect("the store answers");
+    }
+    // The first output was too short for the first save.
+    expect_that!(saved, eq(&vec![vec![(1, 0, 40)], vec![(0, 0, 50), (1, 40, 50)]]));
+    let read = wait_for(read_progress(&store, "j", &spec)).expect("the store answers");
+    let lengths: Vec<(usize, Option<u64>)> = read.iter().map(|item| (item.data.len(), item.last_event)).collect();
+    expect_that!(lengths, eq(&vec![(50, Some(50)), (90, Some(90)), (0, None)]));
+    expect_that!(read[1].data, eq(&output(90, 2).data));
+}
--- /dev/null
+++ b/tests/integration/jobs/results.rs
@@ -0,0 +1,198 @@
+//! Rows of batch jobs, on a store in memory.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use camphorspring::jobs::job_record::{ItemOutcome, ItemResult, ItemSpec, JobHeader, JobSpec};
+use camphorspring::jobs::job_store::{
+    HeaderWrite, append_results, plan_append, read_header, read_results, read_spec, replace_header, store_job,
+};
+use camphorspring::row_store::{
+    PartTransaction, RangeRows, RowRange, RowStore, StoredRow, TableChanges, TransactionResult,
+};
+use googletest::prelude::*;
+
+/// Runs a future to its end.
+pub fn wait_for<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio_runtime();
+    runtime.block_on(future)
+}
+
+fn tokio_runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread().enable_time().build().expect("the runtime starts")
+}
+
+#[derive(Debug, Default)]
+struct MemoryRows {
+    rows: Vec<StoredRow>,
+    version: u64,
+}
+
+impl MemoryRows {
+    fn find(&self, table: &str, part: &str, key: &str) -> Option<&StoredRow> {
+        self.rows.iter().find(|row| row.table == table && row.part == part && row.key == key)
+    }
+
+    fn transact(&mut self, transaction: &PartTransaction) -> TransactionResult {
+        let part = &transaction.part;
+        let holds = transaction
+            .checks
+            .iter()
+            .all(|check| self.find(check.table, part, &check.key).map_or(0, |row| row.version) == check.version);
+        if !holds {
+            let rows = transaction.checks.iter().filter_map(|check| self.find(check.table, part, &check.key).cloned());
+            return TransactionResult::Conflict(rows.collect());
+        }
+        self.version += 1;
+        for write in &transaction.writes {
+            self.rows.retain(|row| row.table != write.table || row.part != *part || row.key != write.key);
+            self.rows.push(StoredRow {
+                table: write.table.to_owned(),
+                part: part.clone(),
+                key: write.key.clone(),
+                value: Some(write.value.clone()),
+                version: self.version,
+            });
+        }
+        TransactionResult::Applied(self.version)
+    }
+
+    /// A page holds few rows, so that reads have to continue.
+    fn read(&self, range: &RowRange) -> RangeRows {
+        const PAGE: usize = 7;
+        let mut rows: Vec<StoredRow> = self
+            .rows
+            .iter()
+            .filter(|row| row.table == range.table && row.part == range.part)
+            .filter(|row| range.from.as_ref().is_none_or(|from| row.key >= *from))
+            .filter(|row| range.to.as_ref().is_none_or(|to| row.key < *to))
+            .cloned()
+            .collect();
+        rows.sort_by(|one, other| one.key.cmp(&other.key));
+        let is_truncated = rows.len() > PAGE;
+        rows.truncate(PAGE);
+        RangeRows { rows, is_truncated, version: self.version }
+    }
+}
+
+/// Store in memory.
+pub fn memory_store() -> RowStore {
+    let rows = Arc::new(Mutex::new(MemoryRows::default()));
+    let (writer, reader) = (Arc::clone(&rows), rows);
+    RowStore {
+        transact: Box::new(move |transaction| {
+            let result = writer.lock().expect("no test panicked").transact(&transaction);
+            Box::pin(async move { Ok(result) })
+        }),
+        read_range: Box::new(move |range| {
+            let rows = reader.lock().expect("no test panicked").read(&range);
+            Box::pin(async move { Ok(rows) })
+        }),
+        read_changes: Box::new(|_, _, _| Box::pin(async { Ok(TableChanges::HistoryLost) })),
+        store_time: Box::new(|| Some(Duration::ZERO)),
+    }
+}
+
+/// Item with a number.
+pub fn item(index: usize) -> ItemSpec {
+    ItemSpec {
+        id: format!("i{index}"),
+        path: "/run".to_owned(),
+        headers: vec![("x".to_owned(), "y".to_owned())],
+        body: "Ym9keQ==".repeat(200),
+        expected_tokens: 10,
+        group: "g".to_owned(),
+    }
+}
+
+fn header(items: u32) -> JobHeader {
+    JobHeader {
+        job: "j".to_owned(),
+        route: "r".to_owned(),
+        caller_host: "c".to_owned(),
+        organisation: None,
+        model: "m".to_owned(),
+        least_version: 1,
+        item_count: items,
+        group_target: 1,
+        submitted_ms: 0,
+        objective_ms: 7500,
+        limit_ms: 40_000,
+        owner: "h1".to_owned(),
+        owner_incarnation: 1,
+        owner_changes: 0,
+        listed: 0,
+        is_ended: false,
+    }
+}
+
+fn result(index: usize, length: usize) -> ItemResult {
+    ItemResult { id: format!("i{index}"), outcome: ItemOutcome::Completed, text: "t".repeat(length), versions: vec![1] }
+}
+
+fn written(write: HeaderWrite) -> Option<u64> {
+    match write {
+        HeaderWrite::Written(version) => Some(version),
+        HeaderWrite::Changed(_) => None,
+    }
+}
+
+/// Guards against a job that is accepted twice, and against one that is accepted without all of its items.
+#[gtest]
+fn job_is_accepted_once_and_whole() {
+    let store = memory_store();
+    let items = (0..300).map(item).collect();
+    let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items };
+    let accept = || written(wait_for(store_job(&store, &header(300), &spec)).expect("the store answers"));
+    expect_that!(accept(), some(anything()));
+    expect_that!(accept(), none());
+    expect_that!(wait_for(read_spec(&store, "j")).expect("the store answers"), eq(&spec));
+    expect_that!(wait_for(read_header(&store, "k")).expect("the store answers"), none());
+}
+
+/// Guards against results that change their position, and against long ones that come back cut.
+#[gtest]
+fn results_keep_position_and_content() {
+    let store = memory_store();
+    let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items: Vec::new() };
+    let mut version = written(wait_for(store_job(&store, &header(4), &spec)).expect("the store answers"));
+    let results = vec![result(0, 10), result(1, 130_000), result(2, 60_000), result(3, 5)];
+    let mut listed = header(4);
+    for group in [&results[..1], &results[1..]] {
+        let append = plan_append(&listed, group);
+        expect_that!(append.count, eq(group.len()));
+        let write = append_results(&store, &listed, version.expect("it was written"), append);
+        version = written(wait_for(write).expect("the store answers"));
+        listed.listed += u32::try_from(group.len()).unwrap_or_default();
+    }
+    let mut read = Vec::new();
+    while read.len() < 4 {
+        let after = u32::try_from(read.len()).unwrap_or_default();
+        let page = wait_for(read_results(&store, "j", after)).expect("the store answers");
+        assert!(!page.is_empty());
+        read.extend(page);
+    }
+    expect_that!(read, eq(&results));
+}
+
+/// Guards against two hosts that both list results, and against results after the end of a job.
+#[gtest]
+fn append_of_a_former_owner_is_refused() {
+    let store = memory_store();
+    let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items: Vec::new() };
+    let first = written(wait_for(store_job(&store, &header(4), &spec)).expect("the store answers"));
+    let first = first.expect("it was written");
+    let mut taken = header(4);
+    taken.owner = "h2".to_owned();
+    expect_that!(
+        written(wait_for(replace_header(&store, &taken, first)).expect("the store answers")),
+        some(anything())
+    );
+    let append = plan_append(&header(4), &[result(0, 1)]);
+    let refused = wait_for(append_results(&store, &header(4), first, append)).expect("the store answers");
+    match refused {
+        HeaderWrite::Changed(Some((header, _))) => expect_that!(header.owner, eq("h2")),
+        other => panic!("the append was not refused: {other:?}"),
+    }
+    expect_that!(wait_for(read_results(&store, "j", 0)).expect("the store answers").len(), eq(0));
+}
