Log how the runs of a batch job went

One line a job says when its last item was first started and how often runs were refused, broken off or moved; it is what explains a late step.

--- a/src/jobs/job_plan.rs
+++ b/src/jobs/job_plan.rs
@@ -56,6 +56,7 @@
     group: usize,
     state: ItemState,
     failures: u32,
+    has_run: bool,
 }
 
 #[derive(Debug, Default)]
@@ -71,6 +72,8 @@
     pub item: usize,
     /// Target.
     pub target: TargetEntry,
+    /// Whether the item is started for the first time.
+    pub is_first: bool,
 }
 
 /// What the plan needs to know of the installation.
@@ -119,6 +122,7 @@
                 group: group_of(&item.group),
                 state: ItemState::Waiting(BootTime::ZERO),
                 failures: 0,
+                has_run: false,
             })
             .collect();
         let mut order: Vec<usize> = (0..items.len()).collect();
@@ -173,7 +177,8 @@
         self.groups[group].target = Some(target.id.clone());
         self.items[item].state = ItemState::Running(target.id.clone());
         loads.start(&target.id, true, target.cold_until > context.now, context.now);
-        Some(StartOrder { item, target: target.clone() })
+        let is_first = !std::mem::replace(&mut self.items[item].has_run, true);
+        Some(StartOrder { item, target: target.clone(), is_first })
     }
 
     fn is_allowed(&self, target: &TargetEntry, loads: &mut LoadTable, context: &PlanContext<'_>) -> bool {
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -59,6 +59,34 @@
     append_after: BootTime,
     saver: ProgressSaver,
     save_after: BootTime,
+    counts: RunCounts,
+}
+
+/// How the runs of a job went, for its log line.
+#[derive(Debug, Clone, Copy, Default)]
+struct RunCounts {
+    starts: u32,
+    refused: u32,
+    misdirected: u32,
+    broken: u32,
+    moved: u32,
+    failed: u32,
+    /// When the last item that had not run before was started.
+    all_started_at: BootTime,
+    first_starts: u32,
+}
+
+impl RunCounts {
+    fn note_end(&mut self, end: RunEnd) {
+        match end {
+            RunEnd::Complete => {}
+            RunEnd::Refused => self.refused += 1,
+            RunEnd::Misdirected => self.misdirected += 1,
+            RunEnd::Broken => self.broken += 1,
+            RunEnd::Slow => self.moved += 1,
+            RunEnd::Failed | RunEnd::Impossible => self.failed += 1,
+        }
+    }
 }
 
 /// Runs a job to its end.
@@ -66,7 +94,20 @@
     let job = header.job.clone();
     let started_at = boot_time();
     let end = match prepare(&context, header, version).await {
-        Ok(runner) => runner.run().await,
+        Ok(mut runner) => {
+            let end = runner.run().await;
+            let (counts, header) = (runner.counts, &runner.header);
+            log::info!(
+                job = job, model = header.model, least_version = header.least_version, items = header.item_count,
+                listed = header.listed, unlisted = runner.ready.len(), starts = counts.starts,
+                started_items = counts.first_starts, refused = counts.refused, misdirected = counts.misdirected,
+                broken = counts.broken, moved = counts.moved, failed = counts.failed,
+                all_started_ms = whole_millis(counts.all_started_at.saturating_sub(started_at)),
+                age_ms = whole_millis(runner.age());
+                "job_runs"
+            );
+            end
+        }
         Err(fault) => {
             log::warn!(job = job, fault = fault.to_string(); "job_unreadable");
             RunnerEnd::Unreadable
@@ -98,6 +139,7 @@
         progress: progress.into_iter().map(|item| Arc::new(Mutex::new(item))).collect(),
         ready: Vec::new(),
         runs: JoinSet::new(),
+        counts: RunCounts::default(),
         is_single_version: route.is_some_and(|route| route.is_single_version),
         append_after: BootTime::ZERO,
         header: Arc::new(header),
@@ -110,7 +152,7 @@
 }
 
 impl JobRunner {
-    async fn run(mut self) -> RunnerEnd {
+    async fn run(&mut self) -> RunnerEnd {
         loop {
             if let Some(end) = self.follow_header().await {
                 return end;
@@ -230,6 +272,11 @@
         loop {
             let plan = &mut self.plan;
             let Some(start) = self.context.with_loads(|loads| plan.next_start(loads, &plan_context)) else { return };
+            self.counts.starts += 1;
+            if start.is_first {
+                self.counts.first_starts += 1;
+                self.counts.all_started_at = plan_context.now;
+            }
             let run = ItemRun {
                 running: RunningRequest::counted(&self.context, &start.target.id, true),
                 context: Arc::clone(&self.context),
@@ -267,6 +314,7 @@
         if !matches!(self.plan.state(item), ItemState::Running(_)) {
             return;
         }
+        self.counts.note_end(end);
         let is_given_up = self.plan.end_run(item, end, boot_time());
         if is_given_up {
             self.give_up(item);
