Complete runs without events left, keep the saves of each tenure apart, tell hosts of loads

Change: a version is asked of events only; saves are grouped by tenure, a later one replaces what an earlier one saved from where it took the item up; the holder of the duties publishes the loads it ordered. The test of two tenures failed before.

--- a/src/duties.rs
+++ b/src/duties.rs
@@ -6,6 +6,7 @@
 pub mod duty_calls;
 pub mod duty_keeper;
 pub mod duty_lease;
+pub mod load_notice;
 pub mod supply_plan;
 pub mod usage_counter;
 pub mod usage_report;
--- a/src/duties/duty_keeper.rs
+++ b/src/duties/duty_keeper.rs
@@ -4,6 +4,7 @@
 
 use crate::duties::duty_calls::{DutyCalls, OrderAnswer, SentOrder, SentSupply, SentUsage};
 use crate::duties::duty_lease::{DUTY_TABLE, DutyLease, LEASE_KEY, LeaseRow, LeaseWrite};
+use crate::duties::load_notice::{LoadBoard, LoadNotice, NOTICE_KEY};
 use crate::duties::supply_plan::{SUPPLY_TABLE, Shortage, SupplyLevel, plan_supply};
 use crate::duties::usage_counter::{WindowNumber, wall_time};
 use crate::duties::usage_report::{freeze_window, write_counts};
@@ -47,6 +48,10 @@
     lease: Mutex<DutyLease>,
     pending: Mutex<Vec<PendingOrder>>,
     accepted: Mutex<Vec<AcceptedCount>>,
+    /// Loads that this host ordered; published for all hosts.
+    ordered: Mutex<LoadBoard>,
+    /// Loads as published, until they should be done.
+    noticed: Mutex<LoadBoard>,
     /// Calls of duties under way; the lease is given up only without any.
     acting: std::sync::atomic::AtomicUsize,
 }
@@ -69,12 +74,23 @@
             lease: Mutex::new(lease),
             pending: Mutex::new(Vec::new()),
             accepted: Mutex::new(Vec::new()),
+            ordered: Mutex::new(LoadBoard::default()),
+            noticed: Mutex::new(LoadBoard::default()),
             acting: std::sync::atomic::AtomicUsize::new(0),
         })
     }
 
-    /// Applies an event of the table of the lease.
-    pub fn apply_lease(&self, event: &WatchEvent, now: BootTime) {
+    /// Applies an event of the table of the duties.
+    pub fn apply_duties(&self, event: &WatchEvent, now: BootTime) {
+        if let WatchEvent::Loaded(rows) | WatchEvent::Changed(rows) = event {
+            if let Some(loads) = find_notice(rows) {
+                lock(&self.noticed).replace(loads);
+            }
+        }
+        self.apply_lease(event, now);
+    }
+
+    fn apply_lease(&self, event: &WatchEvent, now: BootTime) {
         let mut lease = lock(&self.lease);
         match event {
             WatchEvent::Failed(_) => {}
@@ -169,13 +185,17 @@
     /// Brings engines to named versions until the process ends.
     pub async fn keep_weights(self: Arc<Self>) {
         loop {
-            tokio::time::sleep(DUTY_PERIOD).await;
+            // A named version is acted on at once.
+            let mut views = self.context.view.clone();
+            views.mark_unchanged();
+            let _ = tokio::time::timeout(DUTY_PERIOD, views.changed()).await;
+            let view = self.context.view();
+            self.context.with_loads(|loads| lock(&self.noticed).settle(&view, loads, self.store_ms()));
             if self.fence().is_none() {
                 lock(&self.pending).clear();
                 lock(&self.accepted).clear();
                 continue;
             }
-            let view = self.context.view();
             let Some(services) = view.services.clone() else { continue };
             for order in self.due_orders(&view, &services) {
                 lock(&self.pending).push(PendingOrder {
@@ -219,6 +239,9 @@
             targets_age_ms = whole_millis(boot_time().saturating_sub(self.context.view().targets_read_at));
             "weight_order"
         );
+        if matches!(answer, Some((OrderAnswer::Accepted, _))) {
+            self.publish_load(&order).await;
+        }
         let mut accepted = lock(&self.accepted);
         accepted.retain(|known| known.target != target.id);
         match answer {
@@ -233,6 +256,28 @@
         }
     }
 
+    /// Tells all hosts of a load that began just now.
+    async fn publish_load(&self, order: &WeightOrder) {
+        let load = LoadNotice {
+            target: order.target.id.clone(),
+            started_ms: order.target.started_ms,
+            model: order.model.clone(),
+            version: order.version,
+            done_ms: 0,
+        };
+        let loads = lock(&self.ordered).add(load, self.store_ms());
+        let write = RowContent {
+            table: DUTY_TABLE,
+            key: NOTICE_KEY.to_owned(),
+            value: serde_json::to_vec(&loads).unwrap_or_default(),
+        };
+        let transaction = PartTransaction { writes: vec![write], ..PartTransaction::default() };
+        if let Err(fault) = (self.store.transact)(transaction).await {
+            // Hosts then see the version in the entry of the engine.
+            log::info!(fault = fault.to_string(), target = order.target.id; "load_notice_failed");
+        }
+    }
+
     async fn send_order(self: &Arc<Self>, order: &WeightOrder, keeps_runs: bool) -> Option<(OrderAnswer, u64)> {
         let target = &order.target;
         let known = lock(&self.accepted)
@@ -390,6 +435,18 @@
     levels
 }
 
+/// Loads in the newest notice among rows; `None` without a readable one.
+fn find_notice(rows: &[StoredRow]) -> Option<Vec<LoadNotice>> {
+    let value = rows.iter().rfind(|row| row.key == NOTICE_KEY)?.value.as_deref()?;
+    match serde_json::from_slice(value) {
+        Ok(loads) => Some(loads),
+        Err(error) => {
+            log::warn!(error = error.to_string(); "load_notice_unreadable");
+            None
+        }
+    }
+}
+
 fn find_lease(rows: &[StoredRow]) -> Option<(LeaseRow, RowVersion)> {
     let row = rows.iter().rfind(|row| row.key == LEASE_KEY)?;
     let value = row.value.as_deref()?;
--- /dev/null
+++ b/src/duties/load_notice.rs
@@ -0,0 +1,70 @@
+//! Notice of the weight loads under way, from the host that orders them to all hosts.
+//!
+//! The entry of an engine shows a new version up to two seconds after it is there, half of the time for which the
+//! version is the newest. With the notice, hosts place work on the engine as soon as its load should be done; one that
+//! takes longer refuses the work, which then goes elsewhere.
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::fleet_view::FleetView;
+use crate::fleet::target_load::LoadTable;
+use crate::prelude::*;
+
+/// Key of the notice in the table of the duties.
+pub const NOTICE_KEY: &str = "loads";
+
+/// Time after which an engine is expected to have loaded a version.
+pub const EXPECTED_LOAD: Duration = Duration::from_millis(950);
+
+/// Time for which a load stays in the notice; its entry shows the version by then.
+const NOTICE_TIME: Duration = Duration::from_secs(5);
+
+/// One load.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNotice {
+    /// Engine.
+    pub target: TargetId,
+    /// Life of the engine.
+    pub started_ms: Option<u64>,
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: WeightVersion,
+    /// When the load should be done, by the clock of the store in milliseconds.
+    pub done_ms: u64,
+}
+
+/// Loads that are noticed, oldest first.
+#[derive(Debug, Default)]
+pub struct LoadBoard {
+    loads: Vec<LoadNotice>,
+}
+
+impl LoadBoard {
+    /// Replaces what is noticed by what was read.
+    pub fn replace(&mut self, loads: Vec<LoadNotice>) {
+        self.loads = loads;
+    }
+
+    /// Adds a load that was ordered at `store_ms`; returns the whole notice to publish.
+    pub fn add(&mut self, mut load: LoadNotice, store_ms: u64) -> Vec<LoadNotice> {
+        load.done_ms = store_ms + whole_millis(EXPECTED_LOAD);
+        let oldest = store_ms.saturating_sub(whole_millis(NOTICE_TIME));
+        self.loads.retain(|known| known.done_ms >= oldest);
+        self.loads.push(load);
+        self.loads.clone()
+    }
+
+    /// Takes out the loads that should be done, and records their versions.
+    pub fn settle(&mut self, view: &FleetView, loads: &mut LoadTable, store_ms: u64) {
+        let (done, open): (Vec<LoadNotice>, Vec<LoadNotice>) =
+            std::mem::take(&mut self.loads).into_iter().partition(|load| load.done_ms <= store_ms);
+        self.loads = open;
+        for load in done {
+            let is_same = view.target(&load.target).is_some_and(|target| target.started_ms == load.started_ms);
+            if is_same {
+                loads.record_version(&load.target, &load.model, load.version);
+            }
+        }
+    }
+}
--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -147,7 +147,7 @@
     let lease = watch_table(Arc::clone(&store), rule(DUTY_TABLE, own_part(), Duration::ZERO), move |event| {
         let now = boot_time();
         log.note(&event, now);
-        duties.apply_lease(&event, now);
+        duties.apply_duties(&event, now);
     });
     tokio::join!(operators, targets, members, jobs, lease, renew_member(context, store));
 }
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
 
 use crate::entry::host_context::{HostContext, RunningRequest};
 use crate::fleet::fleet_view::TargetEntry;
@@ -36,8 +37,17 @@
     pub data: Vec<String>,
     /// Id of the last event.
     pub last_event: Option<u64>,
-    /// Versions of the weights that generated events, sorted.
-    pub versions: Vec<WeightVersion>,
+    /// Versions of the weights, each with the position of the first event that it generated.
+    pub version_runs: Vec<VersionRun>,
+}
+
+/// A version of the weights and the first event that it generated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRun {
+    /// Position in the output.
+    pub from: usize,
+    /// Version.
+    pub version: WeightVersion,
 }
 
 impl ItemProgress {
@@ -47,14 +57,37 @@
         if self.last_event.is_some_and(|last| id != last + 1) {
             return false;
         }
-        let position = version.and_then(|version| self.versions.binary_search(&version).err());
-        if let (Some(version), Some(position)) = (version, position) {
-            self.versions.insert(position, version);
+        if let Some(version) = version {
+            self.note_version(VersionRun { from: self.data.len(), version });
         }
         self.last_event = Some(id);
         self.data.push(event.data);
         true
     }
+
+    /// Adds a version that generated the events from a position on.
+    pub fn note_version(&mut self, run: VersionRun) {
+        if self.version_runs.last().is_none_or(|last| last.version != run.version) {
+            self.version_runs.push(run);
+        }
+    }
+
+    /// Versions of the weights that generated the output, sorted.
+    #[must_use]
+    pub fn versions(&self) -> Vec<WeightVersion> {
+        let mut versions: Vec<WeightVersion> = self.version_runs.iter().map(|run| run.version).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
+    /// Drops the events from a position on.
+    pub fn truncate(&mut self, length: usize) {
+        let dropped = self.data.len().saturating_sub(length) as u64;
+        self.data.truncate(length);
+        self.version_runs.retain(|run| run.from < length);
+        self.last_event = self.last_event.filter(|_| length > 0).map(|last| last.saturating_sub(dropped));
+    }
 }
 
 /// What a run needs.
@@ -161,7 +194,8 @@
             return (end, 0);
         }
         let mut version = decoded.version;
-        if !self.accepts(version) {
+        // Without events left to generate, as after a break at the very end, the head names no version.
+        if version.is_some() && !self.accepts(version) {
             return (RunEnd::Misdirected, 0);
         }
         let mut reader = EventReader::new();
@@ -226,7 +260,7 @@
         })
     }
 
-    /// Whether output of this version may be used; also remembers what the target has.
+    /// Whether an event of this version may be used; also remembers what the target has.
     fn accepts(&self, version: Option<WeightVersion>) -> bool {
         let Some(version) = version else { return self.header.model.is_empty() };
         let (target, model) = (self.target.id.as_str(), self.header.model.as_str());
@@ -236,7 +270,7 @@
         }
         if self.is_single_version {
             self.with_progress(|progress| {
-                if progress.versions.first().is_some_and(|known| *known != version) {
+                if progress.version_runs.first().is_some_and(|known| known.version != version) {
                     *progress = ItemProgress::default();
                     return false;
                 }
--- a/src/jobs/job_progress.rs
+++ b/src/jobs/job_progress.rs
@@ -3,10 +3,14 @@
 //! Failure answered: all hosts lose power while the long items of a step are half done. Without their output the
 //! steps would run them again from the start and miss their deadline; with it they resume where the last save ended.
 //! Only long items are saved, since a short one is run again faster than it is read back.
+//!
+//! A former owner that does not know of its successor may go on saving. Its events must not be joined to those of the
+//! successor, whose run was resumed elsewhere, so each save names the tenure of its owner: a later tenure's events
+//! replace those of earlier ones from the position on at which it took the item up.
 
 use serde::{Deserialize, Serialize};
 
-use crate::jobs::item_run::ItemProgress;
+use crate::jobs::item_run::{ItemProgress, VersionRun};
 use crate::jobs::job_record::{JobSpec, job_part};
 use crate::prelude::*;
 use crate::row_store::{PartTransaction, RowContent, RowStore, StoreCallFault, StoredRow};
@@ -34,22 +38,24 @@
     pub last_event: u64,
     /// Data of the events.
     pub data: Vec<String>,
-    /// Versions of the weights that generated the output up to here.
-    pub versions: Vec<WeightVersion>,
+    /// Versions of the weights that generated the events.
+    pub version_runs: Vec<VersionRun>,
 }
 
 /// How much of each item of a job is saved.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ProgressSaver {
+    tenure: u32,
     saved: Vec<usize>,
     sequence: u64,
 }
 
 impl ProgressSaver {
-    /// Saver of a job whose items have `saved` events in the store.
+    /// Saver of a tenure of a job, whose items have `saved` events in the store.
     #[must_use]
-    pub fn new(saved: Vec<usize>) -> Self {
-        Self { saved, sequence: 0 }
+    pub fn new(tenure: u32, saved: Vec<usize>) -> Self {
+        // Saves of a second runner in one tenure sort behind those of the first.
+        Self { tenure, saved, sequence: whole_millis(boot_time()) }
     }
 
     /// Output of an item that is not saved yet; it counts as saved from now on.
@@ -64,7 +70,7 @@
             index,
             last_event: progress.last_event?,
             data: progress.data[index..].to_vec(),
-            versions: progress.versions.clone(),
+            version_runs: runs_from(&progress.version_runs, index),
         })
     }
 
@@ -76,9 +82,9 @@
     }
 
     /// Key of the next row of a job.
-    fn next_key(&mut self, job: &str, incarnation: Incarnation) -> String {
+    fn next_key(&mut self, job: &str) -> String {
         self.sequence += 1;
-        format!("{job}/{incarnation:016x}-{:06}", self.sequence)
+        format!("{job}/{:06}-{:012}", self.tenure, self.sequence)
     }
 }
 
@@ -90,7 +96,6 @@
 pub async fn save_parts(
     store: &RowStore,
     job: &str,
-    incarnation: Incarnation,
     saver: &mut ProgressSaver,
     parts: &[ProgressPart],
 ) -> Result<(), StoreCallFault> {
@@ -111,7 +116,7 @@
     for group in rows.chunks(8) {
         let writes = group.iter().map(|row| RowContent {
             table: PROGRESS_TABLE,
-            key: saver.next_key(job, incarnation),
+            key: saver.next_key(job),
             value: serde_json::to_vec(row).unwrap_or_default(),
         });
         let transaction = PartTransaction { part: job_part(job), checks: Vec::new(), writes: writes.collect() };
@@ -120,6 +125,12 @@
     Ok(())
 }
 
+/// Versions of the events from a position on.
+fn runs_from(runs: &[VersionRun], index: usize) -> Vec<VersionRun> {
+    let first = runs.iter().rposition(|run| run.from <= index).unwrap_or_default();
+    runs[first..].iter().map(|run| VersionRun { from: run.from.max(index), version: run.version }).collect()
+}
+
 /// Splits a part that does not fit into one row.
 fn split_part(part: &ProgressPart) -> Vec<ProgressPart> {
     let mut parts: Vec<ProgressPart> = Vec::new();
@@ -127,9 +138,9 @@
     let first_event = part.last_event + 1 - part.data.len() as u64;
     for (offset, data) in part.data.iter().enumerate() {
         if bytes + data.len() + 8 > ROW_BYTES {
-            let data = Vec::new();
-            let versions = part.versions.clone();
-            parts.push(ProgressPart { item: part.item, index: part.index + offset, last_event: 0, data, versions });
+            let index = part.index + offset;
+            let version_runs = runs_from(&part.version_runs, index);
+            parts.push(ProgressPart { item: part.item, index, last_event: 0, data: Vec::new(), version_runs });
             bytes = 0;
         }
         bytes += data.len() + 8;
@@ -138,21 +149,29 @@
             last.last_event = first_event + offset as u64;
         }
     }
+    for part in &mut parts {
+        let end = part.index + part.data.len();
+        part.version_runs.retain(|run| run.from < end);
+    }
     parts
 }
 
-/// Adds a saved part to the output of its item, as far as it continues it.
-pub fn apply_part(progress: &mut ItemProgress, part: &ProgressPart) {
-    let known = progress.data.len();
-    if part.index > known || part.index + part.data.len() <= known {
-        return;
-    }
-    progress.data.extend_from_slice(&part.data[known - part.index..]);
-    progress.last_event = Some(part.last_event);
-    for version in &part.versions {
-        if let Err(position) = progress.versions.binary_search(version) {
-            progress.versions.insert(position, *version);
+/// Adds the saved parts of one tenure, in the order of their saves, to the output of their items.
+pub fn apply_tenure(progress: &mut [ItemProgress], parts: &[ProgressPart]) {
+    let mut begun = vec![false; progress.len()];
+    for part in parts {
+        let Some(item) = progress.get_mut(part.item) else { continue };
+        let is_first = !std::mem::replace(&mut begun[part.item], true);
+        if is_first && part.index < item.data.len() {
+            // The tenure took the item up here; what an earlier one saved later belongs to another run.
+            item.truncate(part.index);
         }
+        if part.index != item.data.len() {
+            continue;
+        }
+        item.data.extend_from_slice(&part.data);
+        item.last_event = Some(part.last_event);
+        part.version_runs.iter().for_each(|run| item.note_version(*run));
     }
 }
 
@@ -163,17 +182,20 @@
 /// The store gave no answer.
 pub async fn read_progress(store: &RowStore, job: &str, spec: &JobSpec) -> Result<Vec<ItemProgress>, StoreCallFault> {
     let (from, to) = (format!("{job}/"), format!("{job}0"));
-    let (mut rows, _) = store.read_part(PROGRESS_TABLE, &job_part(job), Some(from), Some(to)).await?;
-    rows.sort_by_key(|row| row.version);
+    let (rows, _) = store.read_part(PROGRESS_TABLE, &job_part(job), Some(from), Some(to)).await?;
     let mut progress: Vec<ItemProgress> = spec.items.iter().map(|_| ItemProgress::default()).collect();
-    for part in rows.iter().flat_map(decode_parts) {
-        if let Some(item) = progress.get_mut(part.item) {
-            apply_part(item, &part);
-        }
+    // Keys sort by tenure, then by save.
+    for tenure in rows.chunk_by(|one, other| tenure_of(&one.key) == tenure_of(&other.key)) {
+        let parts: Vec<ProgressPart> = tenure.iter().flat_map(decode_parts).collect();
+        apply_tenure(&mut progress, &parts);
     }
     Ok(progress)
 }
 
+fn tenure_of(key: &str) -> Option<&str> {
+    key.rsplit_once('-').map(|(tenure, _)| tenure)
+}
+
 fn decode_parts(row: &StoredRow) -> Vec<ProgressPart> {
     serde_json::from_slice(row.value.as_deref().unwrap_or_default()).unwrap_or_else(|error| {
         log::warn!(row = row.key, error = error.to_string(); "job_progress_unreadable");
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -134,7 +134,7 @@
     let mut runner = JobRunner {
         context: Arc::clone(context),
         plan: JobPlan::new(&spec, route.map_or(1, |route| route.attempts)),
-        saver: ProgressSaver::new(progress.iter().map(|item| item.data.len()).collect()),
+        saver: ProgressSaver::new(header.owner_changes, progress.iter().map(|item| item.data.len()).collect()),
         save_after: boot_time() + SAVE_PERIOD,
         progress: progress.into_iter().map(|item| Arc::new(Mutex::new(item))).collect(),
         ready: Vec::new(),
@@ -324,7 +324,7 @@
                 id: self.spec.items[item].id.clone(),
                 outcome: ItemOutcome::Completed,
                 text: progress.data.join("\n"),
-                versions: progress.versions.clone(),
+                versions: progress.versions(),
             });
         }
     }
@@ -392,8 +392,7 @@
         if parts.is_empty() {
             return;
         }
-        let (store, incarnation) = (&self.context.store, self.context.incarnation);
-        if let Err(fault) = save_parts(store, &self.header.job, incarnation, &mut self.saver, &parts).await {
+        if let Err(fault) = save_parts(&self.context.store, &self.header.job, &mut self.saver, &parts).await {
             log::warn!(job = self.header.job, fault = fault.to_string(), parts = parts.len(); "job_save_failed");
             self.saver.put_back(&parts);
         }
--- a/tests/integration/jobs/progress.rs
+++ b/tests/integration/jobs/progress.rs
@@ -1,7 +1,7 @@
 //! Saved output of items.
 
-use camphorspring::jobs::item_run::ItemProgress;
-use camphorspring::jobs::job_progress::{ProgressPart, ProgressSaver, apply_part, read_progress, save_parts};
+use camphorspring::jobs::item_run::{ItemProgress, VersionRun};
+use camphorspring::jobs::job_progress::{ProgressPart, ProgressSaver, apply_tenure, read_progress, save_parts};
 use camphorspring::jobs::job_record::JobSpec;
 use camphorspring::relay::event_reader::StreamEvent;
 use googletest::prelude::*;
@@ -24,25 +24,40 @@
     let event = |id| StreamEvent { id, data: "x".to_owned(), version: None };
     let taken = [Some(3), Some(5), None, Some(4)].map(|id| progress.add(event(id), Some(2)));
     expect_that!(taken, eq([false, false, false, true]));
-    expect_that!(progress.versions, eq(&vec![1, 2]));
+    expect_that!(progress.versions(), eq(&vec![1, 2]));
 }
 
-/// Guards against an output that is put together with a gap, twice, or in the wrong order.
-#[gtest]
-fn parts_continue_an_output_only() {
-    let part = |index: usize, data: &[&str]| ProgressPart {
+fn part(index: usize, data: &[&str], version: u64) -> ProgressPart {
+    ProgressPart {
         item: 0,
         index,
         last_event: (index + data.len()) as u64,
         data: data.iter().map(|text| (*text).to_owned()).collect(),
-        versions: vec![1],
-    };
-    let mut progress = ItemProgress::default();
-    for part in [part(2, &["c"]), part(0, &["a", "b"]), part(1, &["b", "c"]), part(0, &["a"]), part(5, &["f"])] {
-        apply_part(&mut progress, &part);
+        version_runs: vec![VersionRun { from: index, version }],
     }
-    expect_that!(progress.data, eq(&vec!["a", "b", "c"]));
-    expect_that!(progress.last_event, some(eq(3)));
+}
+
+/// Guards against an output that is put together with a gap, twice, or in the wrong order.
+#[gtest]
+fn parts_continue_an_output_only() {
+    let mut progress = vec![ItemProgress::default()];
+    apply_tenure(&mut progress, &[part(2, &["c"], 1), part(0, &["a", "b"], 1), part(1, &["b"], 1), part(2, &["c"], 2)]);
+    expect_that!(progress[0].data, eq(&vec!["a", "b", "c"]));
+    expect_that!(progress[0].last_event, some(eq(3)));
+    expect_that!(progress[0].versions(), eq(&vec![1, 2]));
+}
+
+/// Guards against an output that joins the events of two runs: a former owner went on saving after its successor had
+/// resumed the item at event 2.
+#[gtest]
+fn later_tenure_replaces_what_a_former_owner_saved() {
+    let mut progress = vec![ItemProgress::default()];
+    apply_tenure(&mut progress, &[part(0, &["a1", "b1"], 1), part(2, &["c1", "d1", "e1", "f1"], 3)]);
+    apply_tenure(&mut progress, &[part(2, &["c2", "d2"], 2)]);
+    expect_that!(progress[0].data, eq(&vec!["a1", "b1", "c2", "d2"]));
+    expect_that!(progress[0].last_event, some(eq(4)));
+    // Version 3 generated only events that were dropped.
+    expect_that!(progress[0].versions(), eq(&vec![1, 2]));
 }
 
 /// Guards against long items that start again from nothing after all hosts lost power.
@@ -56,14 +71,14 @@
         group_target: 1,
         items: (0..3).map(|index| item(index)).collect(),
     };
-    let mut saver = ProgressSaver::new(vec![0; 3]);
+    let mut saver = ProgressSaver::new(0, vec![0; 3]);
     let mut saved = Vec::new();
     for (first, second) in [(10, 40), (50, 90)] {
         let outputs = [output(first, 1), output(second, 2), output(0, 1)];
         let parts: Vec<ProgressPart> =
             outputs.iter().enumerate().filter_map(|(index, output)| saver.take_part(index, output)).collect();
         saved.push(parts.iter().map(|part| (part.item, part.index, part.data.len())).collect::<Vec<_>>());
-        wait_for(save_parts(&store, "j", 7, &mut saver, &parts)).expect("the store answers");
+        wait_for(save_parts(&store, "j", &mut saver, &parts)).expect("the store answers");
     }
     // The first output was too short for the first save.
     expect_that!(saved, eq(&vec![vec![(1, 0, 40)], vec![(0, 0, 50), (1, 40, 50)]]));
