Expect loads later, log within a bound, serve metrics

Cause: work sent to an engine before its load was done was refused, and the engine then paused 250 ms for all models. Logs went to standard error by the thread that called; nothing counted what a host did. Change: a load is expected to take 1.4 s; a refusal pauses an engine 100 ms. Lines go to standard output through a bounded queue and a budget of 200 a second, 100 more for failures; what is left out is counted in a line. Counters, latency histograms and ages are served on metrics_address.

--- a/src/duties/duty_keeper.rs
+++ b/src/duties/duty_keeper.rs
@@ -82,10 +82,12 @@
 
     /// Applies an event of the table of the duties.
     pub fn apply_duties(&self, event: &WatchEvent, now: BootTime) {
-        if let WatchEvent::Loaded(rows) | WatchEvent::Changed(rows) = event {
-            if let Some(loads) = find_notice(rows) {
-                lock(&self.noticed).replace(loads);
-            }
+        let rows = match event {
+            WatchEvent::Loaded(rows) | WatchEvent::Changed(rows) => rows.as_slice(),
+            WatchEvent::Failed(_) => &[],
+        };
+        if let Some(loads) = find_notice(rows) {
+            lock(&self.noticed).replace(loads);
         }
         self.apply_lease(event, now);
     }
--- a/src/duties/load_notice.rs
+++ b/src/duties/load_notice.rs
@@ -13,8 +13,9 @@
 /// Key of the notice in the table of the duties.
 pub const NOTICE_KEY: &str = "loads";
 
-/// Time after which an engine is expected to have loaded a version.
-pub const EXPECTED_LOAD: Duration = Duration::from_millis(950);
+/// Time after which an engine is expected to have loaded a version: 0.9 s, and a margin for loads beside it. Work that
+/// comes too early is refused, and the engine then pauses for all models.
+pub const EXPECTED_LOAD: Duration = Duration::from_millis(1400);
 
 /// Time for which a load stays in the notice; its entry shows the version by then.
 const NOTICE_TIME: Duration = Duration::from_secs(5);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,5 +6,6 @@
 
 pub mod fleet_follower;
 pub mod host_context;
+pub mod host_metrics;
 pub mod host_start;
 pub mod settings;
--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -6,6 +6,7 @@
 use tokio::sync::watch;
 
 use crate::duties::usage_counter::UsageCounter;
+use crate::entry::host_metrics::HostMetrics;
 use crate::entry::settings::InstallationSettings;
 use crate::fleet::fleet_view::FleetView;
 use crate::fleet::target_load::LoadTable;
@@ -35,6 +36,8 @@
     pub board: JobBoard,
     /// Requests begun, by organisation and window.
     pub usage: UsageCounter,
+    /// Metrics.
+    pub metrics: HostMetrics,
     /// Words of targets.
     pub target_codec: TargetCodec,
     /// Words of callers.
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use log::LevelFilter;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
@@ -16,6 +16,7 @@
 use crate::duties::usage_counter::{UsageCounter, wall_time};
 use crate::entry::fleet_follower::{FleetPublisher, InstallationTables, follow_fleet};
 use crate::entry::host_context::HostContext;
+use crate::entry::host_metrics::HostMetrics;
 use crate::entry::settings::{InstallationSettings, InstallationSettingsLogLevel};
 use crate::fleet::service_map::{AdmissionFault, RouteKind, ServiceMap};
 use crate::fleet::target_load::LoadTable;
@@ -24,7 +25,7 @@
 use crate::jobs::job_keeper::keep_jobs;
 use crate::prelude::*;
 use crate::relay::caller_codec::{CallerAction, CallerCodec, CallerHead};
-use crate::relay::caller_server::{serve_callers, serve_readiness};
+use crate::relay::caller_server::{serve_callers, serve_status};
 use crate::relay::connection_pool::{ConnectionPool, read_body};
 use crate::relay::plain_relay::{RelayOrder, relay_request};
 use crate::relay::reply::{ReplyBody, code_reply};
@@ -40,6 +41,9 @@
 /// Part of the stop limit after which the process ends.
 const END_SHARE: f64 = 0.85;
 
+/// Time at the end of the process in which waiting log lines are written.
+const LOG_TIME: Duration = Duration::from_millis(50);
+
 /// Wait that is suggested to callers of a host that knows no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
@@ -92,6 +96,7 @@
         loads: Mutex::new(LoadTable::new()),
         board: JobBoard::new(),
         usage: UsageCounter::new(Duration::from_secs_f64(parts.settings.usage_window_seconds)),
+        metrics: HostMetrics::new().map_err(std::io::Error::other)?,
         target_codec: parts.target_codec,
         caller_codec: parts.caller_codec,
         stopping: AtomicBool::new(false),
@@ -139,12 +144,22 @@
     let listener = TcpListener::bind(&context.settings.caller_address).await?;
     let readiness = context.settings.readiness_address.parse().map_err(std::io::Error::other)?;
     let ready_context = Arc::clone(&context);
-    tokio::spawn(serve_readiness(readiness, move || is_ready(&ready_context)));
+    let answer_ready = move || {
+        let is_ready = is_ready(&ready_context);
+        (if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, Vec::new())
+    };
+    tokio::spawn(serve_status(readiness, Arc::new(answer_ready)));
+    if let Some(address) = &context.settings.metrics_address {
+        let address = address.parse().map_err(std::io::Error::other)?;
+        let metrics_context = Arc::clone(&context);
+        let answer_metrics = move || (StatusCode::OK, metrics_context.metrics.render(&metrics_context));
+        tokio::spawn(serve_status(address, Arc::new(answer_metrics)));
+    }
     let (close, closing) = watch::channel(false);
     let handler_context = Arc::clone(&context);
     let handler = Arc::new(move |request: Request<Incoming>| {
         let context = Arc::clone(&handler_context);
-        Box::pin(async move { handle_request(context, request).await })
+        Box::pin(async move { answer_caller(context, request).await })
             as std::pin::Pin<Box<dyn Future<Output = Response<ReplyBody>> + Send>>
     });
     let callers = tokio::spawn(serve_callers(Arc::clone(&context), listener, handler, closing));
@@ -180,6 +195,8 @@
     callers.abort();
     keeper.abort();
     log::info!(elapsed_ms = whole_millis(boot_time().saturating_sub(started_at)); "host_stopped");
+    // The thread that writes the log gets to its last lines.
+    tokio::time::sleep(LOG_TIME).await;
     Ok(())
 }
 
@@ -187,10 +204,32 @@
     !context.is_stopping() && context.view.borrow().services.is_some()
 }
 
-async fn handle_request(context: Arc<HostContext>, request: Request<Incoming>) -> Response<ReplyBody> {
+/// Answers one request and counts the answer.
+async fn answer_caller(context: Arc<HostContext>, request: Request<Incoming>) -> Response<ReplyBody> {
     let arrived_at = boot_time();
     let (parts, body) = request.into_parts();
     let head = (context.caller_codec.decode)(&parts);
+    let kind = match &head.action {
+        CallerAction::Forward => "request",
+        CallerAction::ReadResults { .. } => "read_results",
+        CallerAction::ReadItem { .. } => "read_item",
+        CallerAction::EndJob { .. } => "end_job",
+    };
+    let response = handle_request(&context, head, parts, body, arrived_at).await;
+    let metrics = &context.metrics;
+    metrics.answers.with_label_values(&[kind, response.status().as_str()]).inc();
+    let elapsed = boot_time().saturating_sub(arrived_at);
+    metrics.answer_seconds.with_label_values(&[kind]).observe(elapsed.as_secs_f64());
+    response
+}
+
+async fn handle_request(
+    context: &Arc<HostContext>,
+    head: CallerHead,
+    parts: hyper::http::request::Parts,
+    body: Incoming,
+    arrived_at: BootTime,
+) -> Response<ReplyBody> {
     let view = context.view();
     let Some(services) = view.services.clone() else {
         return refuse(&head, ResultCode::NotReady, Some(NOT_READY_RETRY));
@@ -206,19 +245,19 @@
         CallerAction::ReadResults { job, after } => match access(job) {
             Ok(access) => {
                 let wait = head.wait.unwrap_or_default().min(READ_WAIT_LIMIT);
-                return read_job(&context, access, *after, wait).await;
+                return read_job(context, access, *after, wait).await;
             }
             Err(code) => Err(code),
         },
         CallerAction::ReadItem { job, item } => match access(job) {
-            Ok(access) => return read_item(&context, access, item).await,
+            Ok(access) => return read_item(context, access, item).await,
             Err(code) => Err(code),
         },
         CallerAction::EndJob { job } => match access(job) {
-            Ok(access) => return end_job(&context, access).await,
+            Ok(access) => return end_job(context, access).await,
             Err(code) => Err(code),
         },
-        CallerAction::Forward => forward(&context, &services, &head, parts, body, arrived_at).await,
+        CallerAction::Forward => forward(context, &services, &head, parts, body, arrived_at).await,
     };
     result.unwrap_or_else(|code| refuse(&head, code, None))
 }
--- a/src/fleet/target_load.rs
+++ b/src/fleet/target_load.rs
@@ -15,6 +15,9 @@
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
+/// Pause of a target that refused a request because it was full or loaded weights.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+
 /// Pause of a target that was found slow.
 const SLOW_PAUSE: Duration = Duration::from_secs(3);
 
@@ -157,7 +160,7 @@
     /// Records that a full target wants no more work for a moment.
     pub fn record_full(&mut self, target: &str, now: BootTime) {
         let load = self.entry(target);
-        load.paused_until = load.paused_until.max(now + FIRST_PAUSE);
+        load.paused_until = load.paused_until.max(now + FULL_PAUSE);
     }
 
     /// Records the version of a model that a target showed.
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -118,6 +118,7 @@
         let (end, events) = self.run_counted().await;
         let now = boot_time();
         let target = self.target.id.as_str();
+        self.context.metrics.item_runs.with_label_values(&[end.name()]).inc();
         self.context.with_loads(|loads| match end {
             RunEnd::Complete => loads.record_success(target, None),
             RunEnd::Slow => loads.record_slow(target, now),
--- a/src/jobs/job_keeper.rs
+++ b/src/jobs/job_keeper.rs
@@ -140,6 +140,7 @@
     let outcome = match result {
         Ok(HeaderWrite::Written(version)) => {
             context.board.learn(header, version, now);
+            context.metrics.takeovers.inc();
             "taken"
         }
         Ok(HeaderWrite::Changed(Some((header, version)))) => {
--- a/src/jobs/job_plan.rs
+++ b/src/jobs/job_plan.rs
@@ -38,6 +38,22 @@
     Impossible,
 }
 
+impl RunEnd {
+    /// Name in metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Refused => "refused",
+            Self::Misdirected => "misdirected",
+            Self::Broken => "broken",
+            Self::Slow => "slow",
+            Self::Failed => "failed",
+            Self::Impossible => "impossible",
+        }
+    }
+}
+
 /// State of an item.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ItemState {
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -97,6 +97,7 @@
         Ok(mut runner) => {
             let end = runner.run().await;
             let (counts, header) = (runner.counts, &runner.header);
+            context.metrics.job_seconds.observe(runner.age().as_secs_f64());
             log::info!(
                 job = job, model = header.model, least_version = header.least_version, items = header.item_count,
                 listed = header.listed, unlisted = runner.ready.len(), starts = counts.starts,
--- a/src/jobs/job_store.rs
+++ b/src/jobs/job_store.rs
@@ -18,6 +18,7 @@
 
 /// Result of an attempt to write a header.
 #[derive(Debug)]
+#[expect(clippy::large_enum_variant, reason = "a result lives only while its call is handled")]
 pub enum HeaderWrite {
     /// Written at this version.
     Written(RowVersion),
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -3,17 +3,23 @@
 //! The message of a log record is the name of the event; its key-value pairs follow in the order given. Values with
 //! spaces, quotes or control characters are quoted, so that one event is always one line.
 
+pub mod bounded_appender;
+pub mod line_budget;
+
 use std::fmt::Write as _;
 
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use log4rs::Config;
-use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::Append;
+use log4rs::append::console::ConsoleAppender;
 use log4rs::config::{Appender, Root};
 use log4rs::encode::{Encode, Write};
 use time::OffsetDateTime;
 use time::format_description::well_known::Rfc3339;
 
+use crate::logs::bounded_appender::BoundedAppender;
+
 /// Encodes a record as one line of key=value pairs.
 #[derive(Debug)]
 pub struct EventEncoder {
@@ -71,12 +77,16 @@
     }
 }
 
-/// Starts logging to standard error.
+/// Starts logging to standard output, within a bound and without blocking.
 pub fn start_logs(host: &str, level: LevelFilter) {
-    let appender = ConsoleAppender::builder().target(Target::Stderr).encoder(Box::new(EventEncoder::new(host))).build();
+    let appender: Box<dyn Append> = match BoundedAppender::start(host) {
+        Ok(appender) => Box::new(appender),
+        // Without a thread to write, lines are written by their callers.
+        Err(_) => Box::new(ConsoleAppender::builder().encoder(Box::new(EventEncoder::new(host))).build()),
+    };
     let config = Config::builder()
-        .appender(Appender::builder().build("stderr", Box::new(appender)))
-        .build(Root::builder().appender("stderr").build(level));
+        .appender(Appender::builder().build("stdout", appender))
+        .build(Root::builder().appender("stdout").build(level));
     if let Ok(config) = config {
         // A second start, as in tests, keeps the first configuration.
         let _ = log4rs::init_config(config);
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -17,7 +17,7 @@
 
 use crate::entry::host_context::HostContext;
 use crate::prelude::*;
-use crate::relay::reply::{ReplyBody, json_reply};
+use crate::relay::reply::{ReplyBody, text_reply};
 
 /// Wait after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -89,12 +89,15 @@
     }
 }
 
-/// Answers the balancer's readiness checks with `is_ready`, until the process ends.
-pub async fn serve_readiness(address: SocketAddr, is_ready: impl Fn() -> bool + Clone + Send + Sync + 'static) {
+/// Function that answers a small question, such as a readiness check or a read of the metrics.
+pub type StatusHandler = Arc<dyn Fn() -> (StatusCode, Vec<u8>) + Send + Sync>;
+
+/// Answers every request at an address with `answer`, until the process ends.
+pub async fn serve_status(address: SocketAddr, answer: StatusHandler) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
-            log::error!(address = address.to_string(), error = error.to_string(); "readiness_listener_failed");
+            log::error!(address = address.to_string(), error = error.to_string(); "status_listener_failed");
             return;
         }
     };
@@ -103,14 +106,14 @@
             tokio::time::sleep(ACCEPT_RETRY).await;
             continue;
         };
-        let is_ready = is_ready.clone();
+        let answer = Arc::clone(&answer);
         tokio::spawn(async move {
             let service = service_fn(move |_: Request<Incoming>| {
-                let status = if is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-                async move { Ok::<_, Infallible>(json_reply(status, bytes::Bytes::new())) }
+                let (status, body) = answer();
+                async move { Ok::<_, Infallible>(text_reply(status, bytes::Bytes::from(body))) }
             });
             let builder = http1::Builder::new();
-            // The balancer closes these connections as it likes.
+            // Those who ask close these connections as they like.
             let _ = builder.serve_connection(TokioIo::new(stream), service).await;
         });
     }
--- a/src/relay/reply.rs
+++ b/src/relay/reply.rs
@@ -34,6 +34,14 @@
     response
 }
 
+/// Reply with a text body.
+#[must_use]
+pub fn text_reply(status: StatusCode, body: Bytes) -> Response<ReplyBody> {
+    let mut response = json_reply(status, body);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
+    response
+}
+
 /// Reply with a JSON body.
 #[must_use]
 pub fn json_reply(status: StatusCode, body: Bytes) -> Response<ReplyBody> {
--- a/tests/integration/jobs/progress.rs
+++ b/tests/integration/jobs/progress.rs
@@ -69,7 +69,7 @@
         model: "m".to_owned(),
         least_version: 1,
         group_target: 1,
-        items: (0..3).map(|index| item(index)).collect(),
+        items: (0..3).map(item).collect(),
     };
     let mut saver = ProgressSaver::new(0, vec![0; 3]);
     let mut saved = Vec::new();
--- a/tests/integration/jobs/results.rs
+++ b/tests/integration/jobs/results.rs
@@ -130,9 +130,9 @@
     ItemResult { id: format!("i{index}"), outcome: ItemOutcome::Completed, text: "t".repeat(length), versions: vec![1] }
 }
 
-fn written(write: HeaderWrite) -> Option<u64> {
+fn written(write: &HeaderWrite) -> Option<u64> {
     match write {
-        HeaderWrite::Written(version) => Some(version),
+        HeaderWrite::Written(version) => Some(*version),
         HeaderWrite::Changed(_) => None,
     }
 }
@@ -143,7 +143,7 @@
     let store = memory_store();
     let items = (0..300).map(item).collect();
     let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items };
-    let accept = || written(wait_for(store_job(&store, &header(300), &spec)).expect("the store answers"));
+    let accept = || written(&wait_for(store_job(&store, &header(300), &spec)).expect("the store answers"));
     expect_that!(accept(), some(anything()));
     expect_that!(accept(), none());
     expect_that!(wait_for(read_spec(&store, "j")).expect("the store answers"), eq(&spec));
@@ -155,14 +155,14 @@
 fn results_keep_position_and_content() {
     let store = memory_store();
     let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items: Vec::new() };
-    let mut version = written(wait_for(store_job(&store, &header(4), &spec)).expect("the store answers"));
+    let mut version = written(&wait_for(store_job(&store, &header(4), &spec)).expect("the store answers"));
     let results = vec![result(0, 10), result(1, 130_000), result(2, 60_000), result(3, 5)];
     let mut listed = header(4);
     for group in [&results[..1], &results[1..]] {
         let append = plan_append(&listed, group);
         expect_that!(append.count, eq(group.len()));
         let write = append_results(&store, &listed, version.expect("it was written"), append);
-        version = written(wait_for(write).expect("the store answers"));
+        version = written(&wait_for(write).expect("the store answers"));
         listed.listed += u32::try_from(group.len()).unwrap_or_default();
     }
     let mut read = Vec::new();
@@ -180,12 +180,12 @@
 fn append_of_a_former_owner_is_refused() {
     let store = memory_store();
     let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items: Vec::new() };
-    let first = written(wait_for(store_job(&store, &header(4), &spec)).expect("the store answers"));
+    let first = written(&wait_for(store_job(&store, &header(4), &spec)).expect("the store answers"));
     let first = first.expect("it was written");
     let mut taken = header(4);
     taken.owner = "h2".to_owned();
     expect_that!(
-        written(wait_for(replace_header(&store, &taken, first)).expect("the store answers")),
+        written(&wait_for(replace_header(&store, &taken, first)).expect("the store answers")),
         some(anything())
     );
     let append = plan_append(&header(4), &[result(0, 1)]);
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod http_bounds;
 mod jobs;
+mod log_bounds;
 mod memory_store;
 mod operator;
 mod orders;
