Split the duties by topic, and the entry of requests from the start of a host

Cause: duty_keeper.rs held the lease, weights, usage and supply; host_start.rs also decided who answers a request. No behaviour changes.

--- /dev/null
+++ b/src/duties/duty_keeper/weights.rs
@@ -0,0 +1,148 @@
+//! Orders of weight versions, while this host holds the lease.
+
+use crate::duties::duty_calls::{OrderAnswer, SentOrder};
+use crate::duties::duty_keeper::{DUTY_PERIOD, DutyKeeper, lock};
+use crate::duties::duty_lease::DUTY_TABLE;
+use crate::duties::load_notice::{LoadNotice, NOTICE_KEY};
+use crate::duties::weight_rollout::{ORDER_PATIENCE, PendingOrder, WeightOrder, plan_orders};
+use crate::fleet::fleet_view::{FleetView, TargetEntry};
+use crate::fleet::service_map::ServiceMap;
+use crate::prelude::*;
+use crate::row_store::{PartTransaction, RowContent};
+
+/// Orders that an engine is known to have accepted.
+#[derive(Debug, Clone)]
+pub(super) struct AcceptedCount {
+    target: TargetId,
+    started_ms: Option<u64>,
+    accepted: u64,
+}
+
+impl DutyKeeper {
+    /// Brings engines to named versions until the process ends.
+    pub async fn keep_weights(self: Arc<Self>) {
+        loop {
+            // A named version is acted on at once.
+            let mut views = self.context.view.clone();
+            views.mark_unchanged();
+            let _ = tokio::time::timeout(DUTY_PERIOD, views.changed()).await;
+            let view = self.context.view();
+            self.context.with_loads(|loads| lock(&self.noticed).settle(&view, loads, self.store_ms()));
+            if self.fence().is_none() {
+                lock(&self.pending).clear();
+                lock(&self.accepted).clear();
+                continue;
+            }
+            let Some(services) = view.services.clone() else { continue };
+            for order in self.due_orders(&view, &services) {
+                lock(&self.pending).push(PendingOrder {
+                    target: order.target.id.clone(),
+                    started_ms: order.target.started_ms,
+                    model: order.model.clone(),
+                    version: order.version,
+                    given_at: boot_time(),
+                });
+                let is_single = services.routes.iter().any(|route| route.is_single_version);
+                tokio::spawn(Arc::clone(&self).give_order(order, !is_single));
+            }
+        }
+    }
+
+    fn due_orders(&self, view: &FleetView, services: &ServiceMap) -> Vec<WeightOrder> {
+        let now = boot_time();
+        let mut pending = lock(&self.pending);
+        pending.retain(|order| {
+            let is_carried_out = view.target(&order.target).is_none_or(|target| {
+                target.started_ms != order.started_ms
+                    || target.model_version(&order.model).is_some_and(|version| version >= order.version)
+            });
+            !is_carried_out && now.saturating_sub(order.given_at) < ORDER_PATIENCE
+        });
+        let mut orders = Vec::new();
+        for service in &services.services {
+            let Some(engine) = &service.engine else { continue };
+            let engines: Vec<&TargetEntry> = view.usable_targets(&service.name).collect();
+            orders.extend(plan_orders(&engines, &engine.models, &view.versions, &pending, now));
+        }
+        orders
+    }
+
+    async fn give_order(self: Arc<Self>, order: WeightOrder, keeps_runs: bool) {
+        let target = &order.target;
+        let answer = self.send_order(&order, keeps_runs).await;
+        log::info!(
+            target = target.id, model = order.model, version = order.version,
+            reported:? = target.model_version(&order.model), answer:? = answer,
+            targets_age_ms = whole_millis(boot_time().saturating_sub(self.context.view().targets_read_at));
+            "weight_order"
+        );
+        if matches!(answer, Some((OrderAnswer::Accepted, _))) {
+            self.publish_load(&order).await;
+        }
+        let mut accepted = lock(&self.accepted);
+        accepted.retain(|known| known.target != target.id);
+        match answer {
+            Some((OrderAnswer::Accepted, before)) => accepted.push(AcceptedCount {
+                target: target.id.clone(),
+                started_ms: target.started_ms,
+                accepted: before + 1,
+            }),
+            Some((OrderAnswer::Holds, _)) => {}
+            // An order without an answer is given again with the same count, so that at most one takes effect.
+            _ => lock(&self.pending).retain(|known| known.target != target.id || known.model != order.model),
+        }
+    }
+
+    /// Tells all hosts of a load that began just now.
+    async fn publish_load(&self, order: &WeightOrder) {
+        let load = LoadNotice {
+            target: order.target.id.clone(),
+            started_ms: order.target.started_ms,
+            model: order.model.clone(),
+            version: order.version,
+            done_ms: 0,
+        };
+        let loads = lock(&self.ordered).add(load, self.store_ms());
+        let write = RowContent {
+            table: DUTY_TABLE,
+            key: NOTICE_KEY.to_owned(),
+            value: serde_json::to_vec(&loads).unwrap_or_default(),
+        };
+        let transaction = PartTransaction { writes: vec![write], ..PartTransaction::default() };
+        if let Err(fault) = (self.store.transact)(transaction).await {
+            // Hosts then see the version in the entry of the engine.
+            log::info!(fault = fault.to_string(), target = order.target.id; "load_notice_failed");
+        }
+    }
+
+    async fn send_order(self: &Arc<Self>, order: &WeightOrder, keeps_runs: bool) -> Option<(OrderAnswer, u64)> {
+        let target = &order.target;
+        let known = lock(&self.accepted)
+            .iter()
+            .find(|known| known.target == target.id && known.started_ms == target.started_ms)
+            .map(|known| known.accepted);
+        let accepted_before = if let Some(accepted) = known {
+            accepted
+        } else {
+            let report = (self.calls.read_report)(target.address).await?;
+            if report.is_busy {
+                return None;
+            }
+            report.accepted
+        };
+        let (fence, _guard) = self.begin_act()?;
+        let limit = lock(&self.lease).call_limit();
+        let sent = (self.calls.send_order)(SentOrder {
+            address: target.address,
+            target: target.id.clone(),
+            model: order.model.clone(),
+            version: order.version,
+            keeps_runs,
+            accepted_before,
+            holder: self.context.settings.host.clone(),
+            fence,
+        });
+        let answer = tokio::time::timeout(limit, sent).await.unwrap_or(OrderAnswer::Unknown);
+        Some((answer, accepted_before))
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,4 +8,5 @@
 pub mod host_context;
 pub mod host_metrics;
 pub mod host_start;
+pub mod request_entry;
 pub mod settings;
--- /dev/null
+++ b/src/entry/request_entry.rs
@@ -0,0 +1,138 @@
+//! Entry of a caller's request: what it asks, whether it is admitted, and who answers it.
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+
+use crate::entry::host_context::HostContext;
+use crate::fleet::service_map::{AdmissionFault, RouteKind, ServiceMap};
+use crate::jobs::job_calls::{JobAccess, Submission, end_job, read_item, read_job, submit_job};
+use crate::prelude::*;
+use crate::relay::caller_codec::{CallerAction, CallerHead};
+use crate::relay::connection_pool::read_body;
+use crate::relay::plain_relay::{RelayOrder, relay_request};
+use crate::relay::reply::{ReplyBody, code_reply};
+use crate::relay::target_codec::TargetRequest;
+
+/// Wait that is suggested to callers of a host that knows no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// Longest wait for a result in one read.
+const READ_WAIT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Longest wait for the body of a request.
+const BODY_LIMIT_TIME: Duration = Duration::from_secs(20);
+
+/// Answers one request and counts the answer.
+pub async fn answer_caller(context: Arc<HostContext>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let arrived_at = boot_time();
+    let (parts, body) = request.into_parts();
+    let head = (context.caller_codec.decode)(&parts);
+    let kind = match &head.action {
+        CallerAction::Forward => "request",
+        CallerAction::ReadResults { .. } => "read_results",
+        CallerAction::ReadItem { .. } => "read_item",
+        CallerAction::EndJob { .. } => "end_job",
+    };
+    let response = handle_request(&context, head, parts, body, arrived_at).await;
+    let metrics = &context.metrics;
+    metrics.answers.with_label_values(&[kind, response.status().as_str()]).inc();
+    let elapsed = boot_time().saturating_sub(arrived_at);
+    metrics.answer_seconds.with_label_values(&[kind]).observe(elapsed.as_secs_f64());
+    response
+}
+
+async fn handle_request(
+    context: &Arc<HostContext>,
+    head: CallerHead,
+    parts: hyper::http::request::Parts,
+    body: Incoming,
+    arrived_at: BootTime,
+) -> Response<ReplyBody> {
+    let view = context.view();
+    let Some(services) = view.services.clone() else {
+        return refuse(&head, ResultCode::NotReady, Some(NOT_READY_RETRY));
+    };
+    let access = |job: &str| {
+        let organisation = admit_organisation(&services, false, &head)?;
+        Ok(JobAccess { job: job.to_owned(), organisation })
+    };
+    if head.action != CallerAction::Forward && !services.has_host(&head.host) {
+        return refuse(&head, ResultCode::NotFound, None);
+    }
+    let result = match &head.action {
+        CallerAction::ReadResults { job, after } => match access(job) {
+            Ok(access) => {
+                let wait = head.wait.unwrap_or_default().min(READ_WAIT_LIMIT);
+                return read_job(context, access, *after, wait).await;
+            }
+            Err(code) => Err(code),
+        },
+        CallerAction::ReadItem { job, item } => match access(job) {
+            Ok(access) => return read_item(context, access, item).await,
+            Err(code) => Err(code),
+        },
+        CallerAction::EndJob { job } => match access(job) {
+            Ok(access) => return end_job(context, access).await,
+            Err(code) => Err(code),
+        },
+        CallerAction::Forward => forward(context, &services, &head, parts, body, arrived_at).await,
+    };
+    result.unwrap_or_else(|code| refuse(&head, code, None))
+}
+
+fn refuse(head: &CallerHead, code: ResultCode, retry_after: Option<Duration>) -> Response<ReplyBody> {
+    log::info!(
+        request = head.request_id, path = head.path, host_name = head.host, code = code.number(),
+        has_key = head.key.is_some();
+        "request_refused"
+    );
+    code_reply(code, retry_after)
+}
+
+fn admit_organisation(
+    services: &ServiceMap,
+    is_open: bool,
+    head: &CallerHead,
+) -> Result<Option<OrganisationId>, ResultCode> {
+    let organisation = services.admit(is_open, head.key.as_deref()).map_err(|fault| match fault {
+        AdmissionFault::KeyMissing => ResultCode::KeyMissing,
+        AdmissionFault::KeyUnknown => ResultCode::KeyUnknown,
+    })?;
+    Ok(organisation.map(|rule| rule.name.clone()))
+}
+
+async fn forward(
+    context: &Arc<HostContext>,
+    services: &ServiceMap,
+    head: &CallerHead,
+    parts: hyper::http::request::Parts,
+    body: Incoming,
+    arrived_at: BootTime,
+) -> Result<Response<ReplyBody>, ResultCode> {
+    let route = services.route(&head.host, &head.path).ok_or(ResultCode::NotFound)?;
+    let organisation = admit_organisation(services, route.is_open, head)?;
+    let limit = services.limits.body_bytes;
+    let body_time = head.deadline.unwrap_or(BODY_LIMIT_TIME).min(BODY_LIMIT_TIME);
+    let body = tokio::time::timeout(body_time, read_body(body, limit)).await;
+    let body = body.map_err(|_| ResultCode::QueueTimeout)?.map_err(|_| ResultCode::TooLarge)?;
+    if route.kind == RouteKind::BatchJob {
+        if parts.method != Method::POST {
+            return Err(ResultCode::BadMethod);
+        }
+        let spec = (context.caller_codec.decode_job)(&body).ok_or(ResultCode::BadRequest)?;
+        let job = head.request_id.clone();
+        let caller_host = head.host.clone();
+        return Ok(submit_job(context, Submission { job, route, caller_host, organisation, spec }).await);
+    }
+    let request = TargetRequest {
+        method: parts.method,
+        path: head.path_and_query.clone(),
+        host: head.host.clone(),
+        headers: (context.caller_codec.strip)(&parts.headers),
+        request_id: head.request_id.clone(),
+        organisation,
+        body,
+    };
+    let order = RelayOrder { request, route, view: context.view(), arrived_at, patience: head.deadline };
+    Ok(relay_request(context, order).await)
+}
