--- a/tests/integration/jobs.rs
+++ b/tests/integration/jobs.rs
@@ -1,5 +1,6 @@
 //! Batch jobs.
 
+mod item_http;
 mod plan;
 mod progress;
 mod results;
--- /dev/null
+++ b/tests/integration/jobs/item_http.rs
@@ -0,0 +1,183 @@
+//! Runs of items against an engine that answers with fixed bytes, over loopback.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use camphorspring::duties::usage_counter::UsageCounter;
+use camphorspring::entry::fleet_follower::FleetPublisher;
+use camphorspring::entry::host_context::{HostContext, RunningRequest};
+use camphorspring::entry::host_metrics::HostMetrics;
+use camphorspring::entry::settings::parse_installation_settings;
+use camphorspring::fleet::target_load::LoadTable;
+use camphorspring::jobs::item_run::{ItemProgress, ItemRun};
+use camphorspring::jobs::job_board::JobBoard;
+use camphorspring::jobs::job_plan::RunEnd;
+use camphorspring::relay::caller_codec::{CallerAction, CallerCodec, CallerHead};
+use camphorspring::relay::connection_pool::{ConnectionPool, SendBody};
+use camphorspring::relay::event_reader::StreamEvent;
+use camphorspring::relay::target_codec::{TargetCodec, TargetHead};
+use googletest::prelude::*;
+use hyper::Request;
+
+use super::results::{header, item, memory_store};
+use crate::fleet::builders::{at, engine};
+
+const SETTINGS: &str = "host: h1\nfailure_domain: north\ncaller_address: \"127.0.0.1:1\"\n\
+                        readiness_address: \"127.0.0.1:2\"\nstore_address: \"127.0.0.1:3\"\n";
+
+const CODEC: TargetCodec = TargetCodec {
+    encode: |request, terms| {
+        let after = terms.resume_after.map_or_else(|| "none".to_owned(), |event| event.to_string());
+        Request::post(&request.path).header("host", "e").header("after", after).body(SendBody::default())
+    },
+    decode: |head| {
+        let value = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
+        TargetHead {
+            request_id: value("id"),
+            is_signed: true,
+            is_not_run: value("not-run").is_some(),
+            is_misdirected: head.status == 421,
+            version: value("version").and_then(|version| version.parse().ok()),
+            idle_limit: None,
+        }
+    },
+    version_line: |line| line.strip_prefix("version: ").and_then(|version| version.parse().ok()),
+};
+
+const CALLERS: CallerCodec = CallerCodec {
+    decode: |_| CallerHead {
+        request_id: String::new(),
+        host: String::new(),
+        path: String::new(),
+        path_and_query: String::new(),
+        deadline: None,
+        key: None,
+        wait: None,
+        action: CallerAction::Forward,
+    },
+    strip: Clone::clone,
+    decode_job: |_| None,
+    encode_page: |_| Bytes::new(),
+    decode_item_body: |_| Some(Bytes::new()),
+};
+
+fn context() -> Arc<HostContext> {
+    let (_, view) = FleetPublisher::new();
+    Arc::new(HostContext {
+        settings: parse_installation_settings(SETTINGS).expect("the settings are valid"),
+        incarnation: 1,
+        view,
+        store: Arc::new(memory_store()),
+        pool: ConnectionPool::new(),
+        loads: Mutex::new(LoadTable::new()),
+        board: JobBoard::new(),
+        usage: UsageCounter::new(at(5000)),
+        metrics: HostMetrics::new().expect("the names are valid"),
+        target_codec: CODEC,
+        caller_codec: CALLERS,
+        stopping: AtomicBool::new(false),
+        releasing: AtomicBool::new(false),
+    })
+}
+
+/// Engine that reads one request, answers with `answer` and closes.
+fn serve_once(answer: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the run connects");
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|count| count == 1) {
+            head.push(byte[0]);
+        }
+        // The run may have ended by then.
+        let _ = stream.write_all(answer.as_bytes());
+    });
+    address
+}
+
+/// How a run against an answer ends, and the output of the item then: events, last event and versions.
+fn run_against(answer: &str, known_events: u64) -> (RunEnd, usize, Option<u64>, Vec<u64>) {
+    let mut progress = ItemProgress::default();
+    for id in 1..=known_events {
+        assert!(progress.add(StreamEvent { id: Some(id), data: "x".to_owned(), version: None }, Some(2)));
+    }
+    let progress = Arc::new(Mutex::new(progress));
+    let mut target = engine("e1", 2);
+    target.address = serve_once(answer.to_owned());
+    let context = context();
+    context.with_loads(|loads| loads.start("e1", true, false, at(0)));
+    let mut header = header(1);
+    header.least_version = 2;
+    let run = ItemRun {
+        running: RunningRequest::counted(&context, "e1", true),
+        context: Arc::clone(&context),
+        header: Arc::new(header),
+        item: item(0),
+        target,
+        deadline: at(5000),
+        is_single_version: false,
+        progress: Arc::clone(&progress),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("the runtime starts");
+    let end = runtime.block_on(run.run());
+    assert_eq!(context.with_loads(|loads| loads.entry("e1").running), 0, "the run still counts");
+    let progress = progress.lock().expect("no run panicked");
+    (end, progress.data.len(), progress.last_event, progress.versions())
+}
+
+fn stream(head: &str, body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nid: i0\r\n{head}content-length: {}\r\n\r\n{body}", body.len())
+}
+
+const TWO_EVENTS: &str = "id: 1\ndata: a\n\nversion: 3\nid: 2\ndata: b\n\n";
+
+/// Guards against an item that is resumed for ever because nothing is left to generate: it broke off, or was moved,
+/// after its last event, and the head of the answer names no version.
+#[gtest]
+fn resumed_run_without_events_left_is_complete() {
+    expect_that!(run_against(&stream("", ""), 14), eq(&(RunEnd::Complete, 14, Some(14), vec![2])));
+}
+
+/// Guards against samples that name a version which did not generate them, or none.
+#[gtest]
+fn versions_are_those_of_the_events() {
+    let answer = stream("version: 2\r\n", TWO_EVENTS);
+    expect_that!(run_against(&answer, 0), eq(&(RunEnd::Complete, 2, Some(2), vec![2, 3])));
+    expect_that!(run_against(&stream("version: 1\r\n", TWO_EVENTS), 0), eq(&(RunEnd::Misdirected, 0, None, vec![])));
+    expect_that!(run_against(&stream("", TWO_EVENTS), 0).0, eq(RunEnd::Misdirected));
+}
+
+/// Guards against an output that counts as whole although its stream broke off, also within an event.
+#[gtest]
+fn broken_streams_keep_their_whole_events() {
+    let cut = stream("version: 2\r\n", TWO_EVENTS);
+    let cut = &cut[..cut.len() - 4];
+    expect_that!(run_against(cut, 0), eq(&(RunEnd::Broken, 1, Some(1), vec![2])));
+    let unframed = "HTTP/1.1 200 OK\r\nid: i0\r\nversion: 2\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata";
+    expect_that!(run_against(unframed, 0), eq(&(RunEnd::Broken, 1, Some(1), vec![2])));
+    let gap = stream("version: 2\r\n", "id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
+    expect_that!(run_against(&gap, 0), eq(&(RunEnd::Broken, 1, Some(1), vec![2])));
+}
+
+/// Guards against an answer to another request, and against a refusal that is taken for a run.
+#[gtest]
+fn other_answers_are_told_apart() {
+    let answer = |status: &str, headers: &str| format!("HTTP/1.1 {status}\r\n{headers}content-length: 0\r\n\r\n");
+    let ends = [
+        answer("200 OK", "id: other\r\nversion: 2\r\n"),
+        answer("503 Full", "id: i0\r\nnot-run: 1\r\n"),
+        answer("421 Misdirected", "id: i0\r\n"),
+        answer("422 Never", "id: i0\r\n"),
+        answer("500 Failed", "id: i0\r\n"),
+        "garbage\r\n\r\n".to_owned(),
+    ]
+    .map(|answer| run_against(&answer, 0).0);
+    let expected =
+        [RunEnd::Broken, RunEnd::Refused, RunEnd::Misdirected, RunEnd::Impossible, RunEnd::Failed, RunEnd::Broken];
+    expect_that!(ends, eq(expected));
+}
--- a/tests/integration/jobs/results.rs
+++ b/tests/integration/jobs/results.rs
@@ -105,7 +105,8 @@
     }
 }
 
-fn header(items: u32) -> JobHeader {
+/// Header of a job with this many items.
+pub fn header(items: u32) -> JobHeader {
     JobHeader {
         job: "j".to_owned(),
         route: "r".to_owned(),
