Use one check of allowed versions, and remove what nothing needs

Cause: the plan and a run each spelled out which versions a job allows; two tests spelled out the same header; a condition on the count of references always held, the lease had a parameter that was always true, and is_live had no caller. Change: LoadTable::allows_version serves both; the tests share one header and keep their assertions; the rest is gone. No behaviour changes.

--- a/src/duties/duty_keeper.rs
+++ b/src/duties/duty_keeper.rs
@@ -112,7 +112,7 @@
                 self.release().await;
                 return;
             }
-            let due = lock(&self.lease).due_write(now, self.store_ms(), true);
+            let due = lock(&self.lease).due_write(now, self.store_ms());
             let Some(write) = due else { continue };
             let result = self.write_lease(&write).await;
             let mut lease = lock(&self.lease);
--- a/src/duties/duty_lease.rs
+++ b/src/duties/duty_lease.rs
@@ -135,7 +135,7 @@
 
     /// Write that is due now; `store_ms` is the time of the store's clock. The caller reports its result with
     /// [`DutyLease::written`] or [`DutyLease::failed`].
-    pub fn due_write(&mut self, now: BootTime, store_ms: u64, may_hold: bool) -> Option<LeaseWrite> {
+    pub fn due_write(&mut self, now: BootTime, store_ms: u64) -> Option<LeaseWrite> {
         if !self.is_read || self.sent_at.is_some() || now < self.next_try {
             return None;
         }
@@ -145,7 +145,7 @@
             }
             LeaseRow { beat: self.row.beat + 1, ..self.row.clone() }
         } else {
-            if !may_hold || !self.is_claimable(now, store_ms) {
+            if !self.is_claimable(now, store_ms) {
                 return None;
             }
             self.claim(store_ms)
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -176,7 +176,7 @@
     context.releasing.store(true, Ordering::Release);
     while boot_time().saturating_sub(started_at) < limit.mul_f64(END_SHARE) {
         let is_idle = context.with_loads(|loads| loads.loads().iter().all(|load| load.running == 0));
-        if is_idle && Arc::strong_count(&context) > 0 {
+        if is_idle {
             break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -134,10 +134,4 @@
     pub fn live_members(&self) -> impl Iterator<Item = &MemberEntry> {
         self.members.iter().filter(|member| self.members_read_at.saturating_sub(member.changed_at) < MEMBER_SILENCE)
     }
-
-    /// Whether a host is live.
-    #[must_use]
-    pub fn is_live(&self, host: &str) -> bool {
-        self.live_members().any(|member| member.host == host)
-    }
 }
--- a/src/fleet/target_load.rs
+++ b/src/fleet/target_load.rs
@@ -180,6 +180,13 @@
         reported.max(seen.map(|seen| seen.1))
     }
 
+    /// Whether a target may generate for a job that allows a model's versions from `least` on; any target may when the job
+    /// names no model.
+    #[must_use]
+    pub fn allows_version(&self, target: &TargetEntry, model: &str, least: WeightVersion) -> bool {
+        model.is_empty() || self.model_version(target, model).is_some_and(|version| version >= least)
+    }
+
     /// Whether a cold target bears one more request of this host now.
     pub fn allows_cold(&mut self, target: &str, allowance: u32, now: BootTime) -> bool {
         let load = self.entry(target);
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -251,10 +251,8 @@
             now: boot_time(),
         };
         let header = &self.header;
-        let allows = |target: &TargetEntry, loads: &LoadTable| {
-            header.model.is_empty()
-                || loads.model_version(target, &header.model).is_some_and(|version| version >= header.least_version)
-        };
+        let allows =
+            |target: &TargetEntry, loads: &LoadTable| loads.allows_version(target, &header.model, header.least_version);
         self.context.with_loads(|loads| {
             loads.record_pace(&self.target.id, pace);
             !self.is_single_version && should_move(pace, &self.target.id, &allows, loads, &plan_context)
--- a/src/jobs/job_plan.rs
+++ b/src/jobs/job_plan.rs
@@ -198,8 +198,7 @@
     }
 
     fn is_allowed(&self, target: &TargetEntry, loads: &mut LoadTable, context: &PlanContext<'_>) -> bool {
-        let has_version = self.model.is_empty()
-            || loads.model_version(target, &self.model).is_some_and(|version| version >= self.least_version);
+        let has_version = loads.allows_version(target, &self.model, self.least_version);
         let is_paused = loads.get(&target.id).is_some_and(|load| load.paused_until > context.now);
         if !has_version || is_paused || used_slots(target, loads, context) >= target.slots {
             return false;
--- a/tests/integration/duties/lease.rs
+++ b/tests/integration/duties/lease.rs
@@ -79,7 +79,7 @@
             if now >= host.cut_until {
                 let row = store.row.clone().map(|row| (row, store.version));
                 host.lease.observe(row, at(now));
-                if let Some(write) = host.lease.due_write(at(now), now, true) {
+                if let Some(write) = host.lease.due_write(at(now), now) {
                     let is_applied = write.version == store.version;
                     if is_applied {
                         store.version += 1;
@@ -155,14 +155,14 @@
 fn same_machine_retakes_its_lease_at_once() {
     let mut first = DutyLease::new("h1", 1, at(TURN_MS));
     first.observe(None, at(0));
-    let write = first.due_write(at(0), 0, true).expect("the lease is free");
+    let write = first.due_write(at(0), 0).expect("the lease is free");
     let mut again = DutyLease::new("h1", 2, at(TURN_MS));
     again.observe(Some((write.row.clone(), 1)), at(1000));
-    let retaken = again.due_write(at(1000), 1000, true).expect("the machine held it");
+    let retaken = again.due_write(at(1000), 1000).expect("the machine held it");
     expect_that!((write.row.fence, retaken.row.fence), eq((1, 2)));
     let mut other = DutyLease::new("h2", 1, at(TURN_MS));
     other.observe(Some((write.row, 1)), at(1000));
-    expect_that!(other.due_write(at(1000), 1000, true), none());
+    expect_that!(other.due_write(at(1000), 1000), none());
 }
 
 proptest! {
--- a/tests/integration/jobs/takeover.rs
+++ b/tests/integration/jobs/takeover.rs
@@ -2,30 +2,15 @@
 
 use camphorspring::jobs::job_board::KnownJob;
 use camphorspring::jobs::job_keeper::{jobs_to_take, preferred_owner};
-use camphorspring::jobs::job_record::JobHeader;
 use googletest::prelude::*;
 
+use super::results::header;
 use crate::fleet::builders::{at, member, view};
 
 fn job(owner: &str, owner_incarnation: u64) -> KnownJob {
-    let header = JobHeader {
-        job: "j".to_owned(),
-        route: "r".to_owned(),
-        caller_host: "c".to_owned(),
-        organisation: None,
-        model: "m".to_owned(),
-        least_version: 1,
-        item_count: 4,
-        group_target: 1,
-        submitted_ms: 0,
-        objective_ms: 7500,
-        limit_ms: 40_000,
-        owner: owner.to_owned(),
-        owner_incarnation,
-        owner_changes: 0,
-        listed: 0,
-        is_ended: false,
-    };
+    let mut header = header(4);
+    owner.clone_into(&mut header.owner);
+    header.owner_incarnation = owner_incarnation;
     KnownJob { header, version: 1, known_since: at(0) }
 }
 
