Do not take a closing port of a stand-in for an open one

The port's task dropped its listener before it cleared is_listening, so a restart in between found the port open already. Change: the closing is marked before the listener is dropped, and a port that closes is not settled. Conclusion: from reading the order of the steps; the failure was not reproduced at will. The test is unchanged.

--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -124,6 +124,8 @@
     port: watch::Sender<PortState>,
     is_crashed: AtomicBool,
     is_listening: AtomicBool,
+    /// Whether the listener is being closed.
+    is_closing: AtomicBool,
 }
 
 impl ServerShared {
@@ -141,7 +143,8 @@
     }
 
     fn is_settled(&self) -> bool {
-        self.port.borrow().is_open == self.is_listening.load(Ordering::Acquire)
+        !self.is_closing.load(Ordering::SeqCst)
+            && self.port.borrow().is_open == self.is_listening.load(Ordering::SeqCst)
     }
 
     pub(crate) fn apply_fault(self: &Arc<Self>, order: FaultOrder) {
@@ -205,6 +208,7 @@
             port: watch::Sender::new(state),
             is_crashed: AtomicBool::new(false),
             is_listening: AtomicBool::new(true),
+            is_closing: AtomicBool::new(false),
         });
         listener.set_nonblocking(true)?;
         control.set_nonblocking(true)?;
--- a/standins/src/server/port.rs
+++ b/standins/src/server/port.rs
@@ -22,9 +22,12 @@
     let Ok(mut listener) = TcpListener::from_std(listener) else { return };
     loop {
         accept_while_open(&listener, &shared).await;
+        // Set before the port refuses: a restart must not take the listener that is being closed for the new one.
+        shared.is_closing.store(true, Ordering::SeqCst);
         drop(listener);
         let reserved = bind_port(address);
-        shared.is_listening.store(false, Ordering::Release);
+        shared.is_listening.store(false, Ordering::SeqCst);
+        shared.is_closing.store(false, Ordering::SeqCst);
         let mut port = shared.port.subscribe();
         let Ok(state) = port.wait_for(|state| state.is_open || state.is_stopped).await.map(|state| *state) else {
             return;
