Allow two weight loads at once on nine engines

Change: the number is rounded to the nearest count: two of nine. It stays two of 12, 9 of 44 and 45, and 10 of 48 engines (was 8, 9 and 9).

The test places the loads of four seconds and got 2 and 2 before.

--- a/src/duties/weight_rollout.rs
+++ b/src/duties/weight_rollout.rs
@@ -13,8 +13,8 @@
 /// engines of a model are brought to a new version.
 const MODELS_PER_ENGINE_PERCENT: usize = 150;
 
-/// One in this many engines can load at the same time without slowing the loads down; the installations state this
-/// figure.
+/// One in this many engines, rounded to the nearest count, can load at the same time without slowing the loads down; the
+/// installations state this figure.
 const LOADING_DIVISOR: usize = 5;
 
 /// An order that was sent, while the entry of the engine does not show the version yet.
@@ -59,7 +59,7 @@
     pending: &[PendingOrder],
     now: BootTime,
 ) -> Vec<WeightLoadOrder> {
-    let max_loads = (engines.len() / LOADING_DIVISOR).max(1);
+    let max_loads = ((engines.len() + LOADING_DIVISOR / 2) / LOADING_DIVISOR).max(1);
     let mut ordered: Vec<&str> = pending.iter().map(|order| order.target.as_str()).collect();
     ordered.sort_unstable();
     let has_pending_order = |target: &TargetEntry| ordered.binary_search(&target.id.as_str()).is_ok();
--- a/tests/integration/duties/weights.rs
+++ b/tests/integration/duties/weights.rs
@@ -1,7 +1,7 @@
 //! Weight orders: which engines are ordered to load a new version.
 
 use camphorspring::duties::weight_rollout::{PendingOrder, plan_orders};
-use camphorspring::fleet::fleet_view::TargetEntry;
+use camphorspring::fleet::fleet_view::{LoadedModel, NamedVersion, TargetEntry};
 use googletest::prelude::*;
 
 use crate::fleet::builders::{at, engine, named};
@@ -39,3 +39,29 @@
     expect_that!(plan_targets(&engines, 4, &[pending("e00")]), eq(&vec!["e01"]));
     expect_that!(plan_targets(&engines, 4, &[pending("e00"), pending("e01")]).len(), eq(0));
 }
+
+/// Guards against steps that queue at two of nine engines: two trainers announce a version every four seconds each, a load
+/// takes one second, and with one load at a time each version reached only two engines before the next one came. An
+/// installation of nine engines takes two loads at once.
+#[gtest]
+fn two_trainers_get_four_engines_for_each_version() {
+    let mut engines = engines(&[1; 9]);
+    for engine in &mut engines {
+        engine.models.push(LoadedModel { model: "n".to_owned(), version: 1 });
+    }
+    let models = ["m".to_owned(), "n".to_owned()];
+    let named_versions = [named(4), NamedVersion { model: "n".to_owned(), version: 4 }];
+    let mut order_counts = [0, 0];
+    for second in 0..4 {
+        let targets: Vec<&TargetEntry> = engines.iter().collect();
+        let orders = plan_orders(&targets, &models, &named_versions, &[], at(1000 * second));
+        // Each load is complete before the orders of the next second.
+        for order in orders {
+            order_counts[usize::from(order.model == "n")] += 1;
+            let engine = engines.iter_mut().find(|engine| engine.id == order.target.id).expect("the engine is known");
+            let loaded = engine.models.iter_mut().find(|loaded| loaded.model == order.model);
+            loaded.expect("the engine has the model").version = order.version;
+        }
+    }
+    expect_that!(order_counts, eq([4, 4]));
+}
