Tell responses apart on reused connections, and end stalled streams

Cause, found by reading for the faults that operators of similar systems report, and shown by tests: - A refusal was taken for the answer before its request id was compared. A late second response to the request before, a 503 or 421, made an at-most-once request count as not run: the caller got 503 although the target ran it. - A response without an id was accepted on a connection in use again. - The pause of an item's stream was measured between any bytes, so that a comment line or a part of an event now and then kept a run alive for ever; the body of an error was read without any limit of time. - A sound stream with pauses over one second was cut at every run, so that the item never ended. - The output of an item had no bound.

Change: a response must name the request, or be the first on its connection; this is checked first. Only whole events count as progress. The pause is a setting (stream_pause_ms, 1 s as before) that doubles with each stalled run of an item, up to eightfold. An output over 1 MiB is dropped and counts as a failure of the target.

Result: new tests on loopback. With the id check after the refusals, without the condition on reused connections, and with the pause measured between any bytes, three of them fail: 503 and 421 instead of 502, 200 and 500 instead of 502, and a run that does not end in 20 s. The bound of the output was not tested without its mechanism (it fills the memory).

--- a/src/jobs/grading_run.rs
+++ b/src/jobs/grading_run.rs
@@ -89,7 +89,7 @@
     /// Reads the whole response. The score counts only when the response names the request and is complete, since an
     /// earlier response may arrive late on a connection that was in use before.
     async fn read_response(&self, exchange: Exchange) -> GradingOutcome {
-        let Exchange { response, connection } = exchange;
+        let Exchange { response, connection, .. } = exchange;
         let (head, body) = response.into_parts();
         let target_head = (self.context.target_codec.decode)(&head);
         if target_head.request_id.as_deref() != Some(self.grading.id.as_str()) {
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -19,12 +19,11 @@
 use crate::relay::event_reader::{EventReader, StreamEvent};
 use crate::relay::target_codec::{SendOptions, TargetRequest};
 
-/// Timeout from connecting to the head of the response. Runs are only sent to free slots, where they start within
-/// milliseconds.
-const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time for connecting and reading the prompt, in which the response may take longer than a pause between two events.
+const RESPONSE_HEAD_MARGIN: Duration = Duration::from_millis(200);
 
-/// Timeout for the next data of a stream: many times the gap between events, also on a slow engine.
-const STREAM_GAP_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest output of an item in bytes; a page of results holds about as much.
+const MAX_OUTPUT_BYTES: usize = 1024 * 1024;
 
 /// Number of events over which the pace of a run is measured.
 const PACE_EVENTS: u32 = 6;
@@ -113,6 +112,8 @@
     pub time_left: Duration,
     /// Whether a single weight version must generate the whole output.
     pub is_single_version: bool,
+    /// Time without a new event after which the run ends.
+    pub pause_limit: Duration,
     /// Output of the item so far; the run resumes after its last event.
     pub progress: Arc<Mutex<ItemProgress>>,
 }
@@ -130,7 +131,7 @@
             RunOutcome::Complete => loads.record_success(target, None),
             RunOutcome::Slow => loads.record_slow(target, now),
             RunOutcome::Refused => loads.record_full(target, now),
-            RunOutcome::Broken => loads.record_failure(target, now),
+            RunOutcome::Broken | RunOutcome::Stalled => loads.record_failure(target, now),
             RunOutcome::Misdirected | RunOutcome::Failed | RunOutcome::Impossible => {}
         });
         if outcome != RunOutcome::Complete {
@@ -160,11 +161,12 @@
         let Ok(request) = (self.context.target_codec.encode)(&request, &options) else {
             return (RunOutcome::Impossible, 0);
         };
-        let sent =
-            tokio::time::timeout(RESPONSE_HEAD_TIMEOUT, self.context.pool.send(self.target.address, request)).await;
+        let head_timeout = self.pause_limit + RESPONSE_HEAD_MARGIN;
+        let sent = tokio::time::timeout(head_timeout, self.context.pool.send(self.target.address, request)).await;
         let exchange = match sent {
             Ok(Ok(exchange)) => exchange,
-            Ok(Err(ExchangeError::NotConnected | ExchangeError::Broken)) | Err(_) => return (RunOutcome::Broken, 0),
+            Ok(Err(ExchangeError::NotConnected | ExchangeError::Broken)) => return (RunOutcome::Broken, 0),
+            Err(_) => return (RunOutcome::Stalled, 0),
         };
         self.read_response(exchange).await
     }
@@ -187,10 +189,10 @@
     }
 
     async fn read_response(&self, exchange: Exchange) -> (RunOutcome, u32) {
-        let Exchange { response, connection } = exchange;
+        let Exchange { response, connection, is_reused } = exchange;
         let (head, mut body) = response.into_parts();
         let target_head = (self.context.target_codec.decode)(&head);
-        if target_head.request_id.as_deref().is_some_and(|id| id != self.item.id) {
+        if !target_head.answers(&self.item.id, is_reused) {
             return (RunOutcome::Broken, 0);
         }
         if head.status != StatusCode::OK || target_head.is_not_run {
@@ -200,7 +202,8 @@
                 StatusCode::UNPROCESSABLE_ENTITY => RunOutcome::Impossible,
                 _ => RunOutcome::Failed,
             };
-            if read_body(body, MAX_ERROR_BODY_BYTES).await.is_ok() {
+            let read = tokio::time::timeout(self.pause_limit, read_body(body, MAX_ERROR_BODY_BYTES)).await;
+            if matches!(read, Ok(Ok(_))) {
                 self.context.pool.give_back(connection, target_head.idle_limit);
             }
             return (outcome, 0);
@@ -214,17 +217,29 @@
         let mut reader = EventReader::new();
         let mut event_count = 0;
         let mut measured_from = Instant::now();
+        let mut output_bytes = self.with_progress(|progress| progress.data.iter().map(String::len).sum::<usize>());
+        // Only whole events count as progress: a stalled target may still send comments or parts of an event.
+        let mut stalls_at = tokio::time::Instant::now() + self.pause_limit;
         loop {
-            let frame = match tokio::time::timeout(STREAM_GAP_TIMEOUT, body.frame()).await {
+            let frame = match tokio::time::timeout_at(stalls_at, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if reader.is_at_boundary() => break,
-                Ok(Some(Err(_)) | None) | Err(_) => return (RunOutcome::Broken, event_count),
+                Ok(Some(Err(_)) | None) => return (RunOutcome::Broken, event_count),
+                Err(_) => return (RunOutcome::Stalled, event_count),
             };
             let Some(data) = frame.data_ref() else { continue };
             let Ok(new_events) = reader.push(data, self.context.target_codec.version_line) else {
                 return (RunOutcome::Broken, event_count);
             };
+            if !new_events.is_empty() {
+                stalls_at = tokio::time::Instant::now() + self.pause_limit;
+            }
             for event in new_events {
+                output_bytes += event.data.len();
+                if output_bytes > MAX_OUTPUT_BYTES {
+                    self.with_progress(|progress| *progress = ItemProgress::default());
+                    return (RunOutcome::Broken, event_count);
+                }
                 version = event.version.or(version);
                 if !self.accept_version(version) {
                     return (RunOutcome::Misdirected, event_count);
--- a/src/jobs/item_scheduler.rs
+++ b/src/jobs/item_scheduler.rs
@@ -50,8 +50,10 @@
     Refused,
     /// The target has a weight version that the job does not allow, or another target is at the address.
     Misdirected,
-    /// The connection broke, a timeout expired, or the response was invalid; another run can resume the output.
+    /// The connection broke or the response was invalid; another run can resume the output.
     Broken,
+    /// No response or no further event arrived within the pause that the run allows; another run can resume the output.
+    Stalled,
     /// The target is much slower than others that have a free slot; another run resumes the output there.
     Slow,
     /// The target reported an error; the item may succeed in another run.
@@ -69,6 +71,7 @@
             Self::Refused => "refused",
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
+            Self::Stalled => "stalled",
             Self::Slow => "slow",
             Self::Failed => "failed",
             Self::Impossible => "impossible",
@@ -97,6 +100,7 @@
     is_short: bool,
     state: ItemState,
     failures: u32,
+    stalls: u32,
     has_run: bool,
 }
 
@@ -115,6 +119,8 @@
     pub target: TargetEntry,
     /// Whether this is the first run of the item under this scheduler.
     pub is_first: bool,
+    /// Number of earlier runs of the item that stalled.
+    pub stalls: u32,
 }
 
 /// Target addresses of idle connections, one entry for each connection, sorted.
@@ -190,6 +196,7 @@
                 is_short: item.expected_tokens.saturating_mul(SHORT_ITEM_RATIO) <= longest_tokens,
                 state: ItemState::Waiting(BootTime::ZERO),
                 failures: 0,
+                stalls: 0,
                 has_run: false,
             })
             .collect();
@@ -277,7 +284,7 @@
             self.groups[group].prompt_target = Some(target.id.clone());
             self.items[item].state = ItemState::Running(target.id.clone());
             let is_first = !std::mem::replace(&mut self.items[item].has_run, true);
-            starts.push(RunStart { item, target: target.clone(), is_first });
+            starts.push(RunStart { item, target: target.clone(), is_first, stalls: self.items[item].stalls });
         }
         starts
     }
@@ -302,6 +309,10 @@
             RunOutcome::Impossible => (ItemState::Finished, true),
             RunOutcome::Refused | RunOutcome::Misdirected => (ItemState::Waiting(now + REFUSED_DELAY), false),
             RunOutcome::Broken | RunOutcome::Slow => (ItemState::Waiting(now), false),
+            RunOutcome::Stalled => {
+                scheduled_item.stalls += 1;
+                (ItemState::Waiting(now), false)
+            }
             RunOutcome::Failed => {
                 scheduled_item.failures += 1;
                 let is_last = scheduled_item.failures >= self.max_failures;
@@ -313,6 +324,14 @@
     }
 }
 
+/// Longest pause between two events that a run of an item allows. The pause doubles with each run that stalled, so that
+/// an item makes progress also when all targets are slow.
+#[must_use]
+pub fn pause_limit(first: Duration, stalls: u32) -> Duration {
+    const MAX_DOUBLINGS: u32 = 3;
+    first.saturating_mul(1 << stalls.min(MAX_DOUBLINGS))
+}
+
 /// A run migrates when its seconds per event exceed the median by this factor. Engines in trouble have been 3.6 to 4
 /// times slower than usual. The new target has to process the prompt and the output so far, which takes a few
 /// milliseconds, so migration saves time unless only the last events are left.
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -11,7 +11,9 @@
 use crate::jobs::grading_queue::{GradingDecision, GradingOutcome, GradingQueue};
 use crate::jobs::grading_run::GradingRun;
 use crate::jobs::item_run::{ItemProgress, ItemRun};
-use crate::jobs::item_scheduler::{IdleConnections, ItemScheduler, ItemState, PlacementContext, RunOutcome};
+use crate::jobs::item_scheduler::{
+    IdleConnections, ItemScheduler, ItemState, PlacementContext, RunOutcome, pause_limit,
+};
 use crate::jobs::job_progress::{ProgressSaver, SAVE_PERIOD, read_progress, save_segments};
 use crate::jobs::job_record::{ItemOutcome, ItemResult, JobHeader, JobSpec};
 use crate::jobs::job_store::{
@@ -111,7 +113,7 @@
             RunOutcome::Complete => {}
             RunOutcome::Refused => self.refused += 1,
             RunOutcome::Misdirected => self.misdirected += 1,
-            RunOutcome::Broken => self.broken += 1,
+            RunOutcome::Broken | RunOutcome::Stalled => self.broken += 1,
             RunOutcome::Slow => self.migrated += 1,
             RunOutcome::Failed | RunOutcome::Impossible => self.failed += 1,
         }
@@ -329,6 +331,7 @@
         let placement_context = placement_context(&self.context, &view, service, &hosts, &idle_connections);
         let limit = Duration::from_millis(self.header.limit_ms);
         let time_left = limit.saturating_sub(self.age()).max(Duration::from_millis(1));
+        let first_pause = Duration::from_millis(self.context.settings.stream_pause_ms.into());
         let scheduler = &mut self.scheduler;
         for start in self.context.with_loads(|loads| scheduler.start_items(loads, &placement_context)) {
             self.counts.starts += 1;
@@ -344,6 +347,7 @@
                 target: start.target,
                 time_left,
                 is_single_version: self.is_single_version,
+                pause_limit: pause_limit(first_pause, start.stalls),
                 progress: Arc::clone(&self.progress[start.item]),
             };
             self.runs.spawn(async move { (start.item, run.run().await) });
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -67,6 +67,8 @@
     pub response: Response<Incoming>,
     /// Connection to return with [`ConnectionPool::give_back`] once the body has been read to its end.
     pub connection: PooledConnection,
+    /// Whether the connection was used before, so that a late response to an earlier request may arrive on it.
+    pub is_reused: bool,
 }
 
 /// Idle connections for reuse, and counts of opened and reused connections.
@@ -123,7 +125,7 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     self.reused.fetch_add(1, Ordering::Relaxed);
-                    return Ok(Exchange { response, connection });
+                    return Ok(Exchange { response, connection, is_reused: true });
                 }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -133,7 +135,7 @@
         }
         let mut connection = self.connect(address).await?;
         let response = connection.sender.send_request(request).await.map_err(|_| ExchangeError::Broken)?;
-        Ok(Exchange { response, connection })
+        Ok(Exchange { response, connection, is_reused: false })
     }
 
     /// Sends a request, reads the whole response and keeps the connection for the default idle time.
@@ -150,7 +152,7 @@
         request: Request<SendBody>,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let Exchange { response, connection } = self.send(address, request).await?;
+        let Exchange { response, connection, .. } = self.send(address, request).await?;
         let (head, body) = response.into_parts();
         let bytes = read_body(body, max_bytes).await?;
         self.give_back(connection, None);
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -240,9 +240,14 @@
             return if error == ExchangeError::NotConnected { AttemptOutcome::NotRun } else { AttemptOutcome::Lost };
         }
     };
-    let Exchange { response, connection } = exchange;
+    let Exchange { response, connection, is_reused } = exchange;
     let (head, body) = response.into_parts();
     let target_head = (context.target_codec.decode)(&head);
+    // Checked before the refusals: a refusal of another request says nothing about this one.
+    if !target_head.answers(&relay.request.request_id, is_reused) {
+        record_target_failure(context, relay, &target, ExchangeError::Broken);
+        return AttemptOutcome::Lost;
+    }
     if target_head.is_not_run || target_head.is_misdirected {
         context.with_loads(|loads| {
             if target_head.is_misdirected {
@@ -254,7 +259,7 @@
         drain_refusal(context, body, connection, &target_head).await;
         return AttemptOutcome::NotRun;
     }
-    if !is_acceptable_response(&head, &target_head, &relay.request.request_id) {
+    if !is_acceptable_response(&head, &target_head) {
         record_target_failure(context, relay, &target, ExchangeError::Broken);
         return AttemptOutcome::Lost;
     }
@@ -369,12 +374,10 @@
     }
 }
 
-/// Whether a response can be used: it names the id of the request or no id, and a success carries the signature header
-/// of targets and no content encoding.
-fn is_acceptable_response(head: &http::response::Parts, target_head: &TargetHead, request_id: &str) -> bool {
-    let has_matching_id = target_head.request_id.as_deref().is_none_or(|id| id == request_id);
+/// Whether a response can be used: a success carries the signature header of targets and no content encoding.
+fn is_acceptable_response(head: &http::response::Parts, target_head: &TargetHead) -> bool {
     let is_encoded = head.headers.contains_key(hyper::header::CONTENT_ENCODING);
-    has_matching_id && (!head.status.is_success() || (target_head.stamp.is_some() && !is_encoded))
+    !head.status.is_success() || (target_head.stamp.is_some() && !is_encoded)
 }
 
 fn record_target_failure(
--- a/src/relay/target_codec.rs
+++ b/src/relay/target_codec.rs
@@ -55,6 +55,18 @@
     pub idle_limit: Option<Duration>,
 }
 
+impl TargetHead {
+    /// Whether the response can be told to be the one to this request. A response without an id can when it is the first
+    /// on its connection, or when the request has no id either.
+    #[must_use]
+    pub fn answers(&self, request_id: &str, is_reused: bool) -> bool {
+        match &self.request_id {
+            Some(id) => id == request_id,
+            None => !is_reused || request_id.is_empty(),
+        }
+    }
+}
+
 /// Translation between the types of this program and the wire format of targets.
 #[derive(Debug, Clone, Copy)]
 pub struct TargetCodec {
--- a/tests/integration/jobs.rs
+++ b/tests/integration/jobs.rs
@@ -2,7 +2,7 @@
 //! reads and removal.
 
 mod gradings;
-mod item_http;
+pub mod item_http;
 mod plan;
 mod progress;
 mod reads;
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use camphorspring::duties::usage_counter::UsageCounter;
@@ -11,6 +12,7 @@
 use camphorspring::entry::host_context::{HostContext, RunningRequest};
 use camphorspring::entry::host_metrics::HostMetrics;
 use camphorspring::entry::settings::parse_installation_settings;
+use camphorspring::fleet::fleet_view::FleetView;
 use camphorspring::fleet::target_load::LoadTable;
 use camphorspring::jobs::item_run::{ItemProgress, ItemRun};
 use camphorspring::jobs::item_scheduler::RunOutcome;
@@ -21,10 +23,14 @@
 use camphorspring::relay::target_codec::{TargetCodec, TargetHead};
 use googletest::prelude::*;
 use hyper::Request;
+use tokio::sync::watch;
 
 use super::results::{header, item, memory_store};
 use crate::fleet::builders::{at, engine};
 
+/// Time after which a run counts as one that never ends.
+const RUN_TIMEOUT: Duration = Duration::from_secs(20);
+
 const SETTINGS: &str = "host: h1\nfailure_domain: north\ncaller_address: \"127.0.0.1:1\"\n\
                         readiness_address: \"127.0.0.1:2\"\nstore_address: \"127.0.0.1:3\"\n";
 
@@ -67,6 +73,11 @@
 /// State of a host that knows no targets and has an empty store.
 pub fn context() -> Arc<HostContext> {
     let (_, view) = FleetPublisher::new();
+    context_with_view(view)
+}
+
+/// State of a host with this view and an empty store.
+pub fn context_with_view(view: watch::Receiver<Arc<FleetView>>) -> Arc<HostContext> {
     Arc::new(HostContext {
         settings: parse_installation_settings(SETTINGS).expect("the settings are valid"),
         incarnation: 1,
@@ -101,16 +112,44 @@
     address
 }
 
+/// Starts an engine that reads one request, sends `head` and then `piece` again and again with a pause before each, until
+/// the connection is closed; returns its address.
+fn serve_pieces(head: &'static str, piece: fn(usize) -> String, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the run connects");
+        let mut request = [0; 4096];
+        let mut is_open = stream.read(&mut request).is_ok() && stream.write_all(head.as_bytes()).is_ok();
+        for number in 1.. {
+            if !is_open {
+                return;
+            }
+            std::thread::sleep(pause);
+            is_open = stream.write_all(piece(number).as_bytes()).is_ok();
+        }
+    });
+    address
+}
+
 /// Runs an item that already has `known_events` events against a response; returns the outcome of the run, then the
 /// number of events, the last event id and the weight versions of the output.
 fn run_against(response: &str, known_events: u64) -> (RunOutcome, usize, Option<u64>, Vec<u64>) {
+    run_at(serve_once(response.to_owned()), known_events, STREAM_PAUSE)
+}
+
+/// Longest pause between two events that runs of these tests allow.
+const STREAM_PAUSE: Duration = Duration::from_secs(1);
+
+/// Like [`run_against`], with the engine at `address`.
+fn run_at(address: SocketAddr, known_events: u64, pause_limit: Duration) -> (RunOutcome, usize, Option<u64>, Vec<u64>) {
     let mut progress = ItemProgress::default();
     for id in 1..=known_events {
         assert!(progress.append_event(StreamEvent { id: Some(id), data: "x".to_owned(), version: None }, Some(2)));
     }
     let progress = Arc::new(Mutex::new(progress));
     let mut target = engine("e1", 2);
-    target.address = serve_once(response.to_owned());
+    target.address = address;
     let context = context();
     context.with_loads(|loads| loads.start("e1", true, false, at(0)));
     let mut header = header(1);
@@ -123,10 +162,12 @@
         target,
         time_left: at(5000),
         is_single_version: false,
+        pause_limit,
         progress: Arc::clone(&progress),
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("the runtime starts");
-    let outcome = runtime.block_on(run.run());
+    let outcome =
+        runtime.block_on(async { tokio::time::timeout(RUN_TIMEOUT, run.run()).await }).expect("the run ends by itself");
     assert_eq!(context.with_loads(|loads| loads.entry("e1").running), 0, "the load table still counts the run");
     let progress = progress.lock().expect("no run panicked");
     (outcome, progress.data.len(), progress.last_event, progress.versions())
@@ -194,3 +235,48 @@
     ];
     expect_that!(outcomes, eq(expected));
 }
+
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nid: i0\r\nversion: 2\r\nconnection: close\r\n\r\n";
+
+/// Guards against a run that never ends: its engine has stopped generating and sends a comment line, or a part of an
+/// event, now and then.
+#[gtest]
+fn stalled_streams_end() {
+    let pause = Duration::from_millis(100);
+    let limit = Duration::from_millis(500);
+    let comment = serve_pieces(STREAM_HEAD, |_| ": wait\n\n".to_owned(), pause);
+    expect_that!(run_at(comment, 0, limit), eq(&(RunOutcome::Stalled, 0, None, vec![])));
+    let part = serve_pieces(STREAM_HEAD, |number| if number == 1 { "id: 1\ndata: " } else { "x" }.to_owned(), pause);
+    expect_that!(run_at(part, 0, limit), eq(&(RunOutcome::Stalled, 0, None, vec![])));
+    let head = serve_pieces("HTTP/1.1 200 OK\r\nx: ", |_| "y".to_owned(), pause);
+    expect_that!(run_at(head, 0, limit).0, eq(RunOutcome::Stalled));
+    let error = serve_pieces("HTTP/1.1 500 Failed\r\nid: i0\r\n\r\n", |_| "z".to_owned(), pause);
+    expect_that!(run_at(error, 0, limit).0, eq(RunOutcome::Failed));
+}
+
+/// Guards against a slow but sound stream that is cut: it makes progress within the allowed pause, and lasts much longer.
+#[gtest]
+fn slow_streams_are_complete() {
+    let slow = serve_pieces(
+        "HTTP/1.1 200 OK\r\nid: i0\r\nversion: 2\r\ntransfer-encoding: chunked\r\n\r\n",
+        |number| {
+            let event = format!("id: {number}\ndata: x\n\n");
+            if number <= 12 { format!("{:x}\r\n{event}\r\n", event.len()) } else { "0\r\n\r\n".to_owned() }
+        },
+        Duration::from_millis(200),
+    );
+    expect_that!(run_at(slow, 0, STREAM_PAUSE), eq(&(RunOutcome::Complete, 12, Some(12), vec![2])));
+}
+
+/// Guards against an engine that sends events, headers or bytes without end and so fills the memory of the host.
+#[gtest]
+fn endless_streams_are_cut() {
+    let event = |number| format!("id: {number}\ndata: {}\n\n", "x".repeat(40_000));
+    let events = serve_pieces(STREAM_HEAD, event, Duration::ZERO);
+    // The output is dropped, since no run can complete it.
+    expect_that!(run_at(events, 0, STREAM_PAUSE), eq(&(RunOutcome::Broken, 0, None, vec![])));
+    let bytes = serve_pieces(STREAM_HEAD, |_| "x".repeat(10_000), Duration::ZERO);
+    expect_that!(run_at(bytes, 0, STREAM_PAUSE).0, eq(RunOutcome::Broken));
+    let headers = serve_pieces("HTTP/1.1 200 OK\r\n", |number| format!("x{number}: y\r\n"), Duration::ZERO);
+    expect_that!(run_at(headers, 0, STREAM_PAUSE).0, eq(RunOutcome::Broken));
+}
--- a/tests/integration/relay.rs
+++ b/tests/integration/relay.rs
@@ -1,4 +1,5 @@
-//! Target choice for plain requests, and the event stream parser.
+//! Plain requests: target choice, and responses on connections in use again. The event stream parser.
 
+mod answers;
 mod attempts;
 mod events;
--- /dev/null
+++ b/tests/integration/relay/answers.rs
@@ -0,0 +1,106 @@
+//! Responses of targets on connections that are in use again.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use camphorspring::clock::boot_time;
+use camphorspring::entry::host_context::HostContext;
+use camphorspring::fleet::service_map::{RouteKind, RouteRule, WeightedService};
+use camphorspring::relay::plain_relay::{RelayRequest, relay_request};
+use camphorspring::relay::target_codec::TargetRequest;
+use googletest::prelude::*;
+use hyper::Method;
+use hyper::header::HeaderMap;
+use tokio::sync::watch;
+
+use crate::fleet::builders::{at, engine, plain_route, view};
+use crate::jobs::item_http::context_with_view;
+
+/// Starts a target that answers the first request on its connection, and answers the second one with `extra` and its own
+/// response in one packet; returns its address and the number of requests that it got.
+fn serve_with_extra_response(extra: &'static str) -> (SocketAddr, Arc<Mutex<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let requests = Arc::new(Mutex::new(0));
+    let counter = Arc::clone(&requests);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut writer = stream.try_clone().expect("the socket is open");
+            let heads = BufReader::new(stream).lines().map_while(std::result::Result::ok);
+            for _ in heads.filter(String::is_empty) {
+                let number = {
+                    let mut count = counter.lock().expect("no thread panicked");
+                    *count += 1;
+                    *count
+                };
+                let own = format!("HTTP/1.1 200 OK\r\nid: r{number}\r\nstamp: s\r\ncontent-length: 2\r\n\r\nr{number}");
+                let response = if number == 2 { format!("{extra}{own}") } else { own };
+                // The client may have closed the connection.
+                let _ = writer.write_all(response.as_bytes());
+            }
+        }
+    });
+    (address, requests)
+}
+
+fn route(kind: RouteKind) -> RouteRule {
+    let services = vec![WeightedService { service: "models".to_owned(), weight: 1 }];
+    RouteRule { kind, services, attempts: 1, timeout: Some(at(2000)), ..plain_route() }
+}
+
+/// Sends request `r<number>` through the relay; returns the status that the caller gets.
+async fn send(context: &Arc<HostContext>, route: &RouteRule, number: u32) -> u16 {
+    let request = TargetRequest {
+        method: Method::POST,
+        path: "/plain/x".to_owned(),
+        host: "c".to_owned(),
+        headers: HeaderMap::new(),
+        request_id: format!("r{number}"),
+        organisation: None,
+        body: Bytes::new(),
+    };
+    let relay = RelayRequest { request, route, view: context.view(), arrived_at: boot_time(), patience: None };
+    relay_request(context, relay).await.status().as_u16()
+}
+
+/// Sends two requests of a route to one target, the second on the connection of the first; returns the status of the
+/// second one, and the number of requests that reached the target.
+fn second_status(kind: RouteKind, extra: &'static str) -> (u16, u32) {
+    let (address, requests) = serve_with_extra_response(extra);
+    let mut target = engine("p1", 1);
+    target.address = address;
+    let (_, view) = watch::channel(Arc::new(view(vec![target], &["h1"], boot_time())));
+    let context = context_with_view(view);
+    let route = route(kind);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("the runtime starts");
+    let status = runtime.block_on(async {
+        assert_eq!(send(&context, &route, 1).await, 200);
+        send(&context, &route, 2).await
+    });
+    let requests = *requests.lock().expect("no thread panicked");
+    (status, requests)
+}
+
+/// Guards against a request that may run once and is reported as not run, or sent again, because a second response to
+/// the request before it, a refusal, arrived on the same connection.
+#[gtest]
+fn refusal_of_another_request_is_no_refusal() {
+    let extra = "HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+    expect_that!(second_status(RouteKind::AtMostOnce, extra), eq((502, 2)));
+    let misdirected = "HTTP/1.1 421 Misdirected\r\nid: r1\r\ncontent-length: 0\r\n\r\n";
+    expect_that!(second_status(RouteKind::AtMostOnce, misdirected), eq((502, 2)));
+}
+
+/// Guards against a caller that gets the response to another request: a second copy of an earlier one, and one that names
+/// no request on a connection that was in use before.
+#[gtest]
+fn response_to_another_request_is_not_forwarded() {
+    let copy = "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: s\r\ncontent-length: 2\r\n\r\nr1";
+    expect_that!(second_status(RouteKind::Repeatable, copy), eq((502, 2)));
+    let unnamed = "HTTP/1.1 200 OK\r\nstamp: s\r\ncontent-length: 2\r\n\r\nr1";
+    expect_that!(second_status(RouteKind::Repeatable, unnamed), eq((502, 2)));
+    let failure = "HTTP/1.1 500 Failed\r\nstamp: s\r\ncontent-length: 2\r\n\r\nno";
+    expect_that!(second_status(RouteKind::Repeatable, failure), eq((502, 2)));
+}
