--- a/src/relay/event_reader.rs
+++ b/src/relay/event_reader.rs
@@ -26,9 +26,19 @@
 const MAX_BUFFER_BYTES: usize = 1024 * 1024;
 
 /// Parser of one stream; holds the bytes that do not form a complete event yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventReader {
     buffer: Vec<u8>,
+    /// Number of buffered bytes that are known not to end an event, so that a long event is searched once.
+    searched: usize,
+    /// Whether the line at the end of the searched bytes is empty so far.
+    is_line_empty: bool,
+}
+
+impl Default for EventReader {
+    fn default() -> Self {
+        Self { buffer: Vec::new(), searched: 0, is_line_empty: true }
+    }
 }
 
 impl EventReader {
@@ -61,29 +71,29 @@
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
         let mut start = 0;
-        while let Some(length) = event_length(&self.buffer[start..]) {
-            let text =
-                std::str::from_utf8(&self.buffer[start..start + length]).map_err(|_| EventStreamError::Malformed)?;
+        while let Some(end) = self.find_event_end() {
+            let text = std::str::from_utf8(&self.buffer[start..end]).map_err(|_| EventStreamError::Malformed)?;
             events.extend(parse_event(text, parse_version));
-            start += length;
+            start = end;
         }
         self.buffer.drain(..start);
+        self.searched -= start;
         if self.buffer.len() > MAX_BUFFER_BYTES { Err(EventStreamError::Malformed) } else { Ok(events) }
     }
-}
 
-/// Length of the first event in bytes, including the empty line after it; `None` when that line is missing.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut is_line_empty = true;
-    for (position, byte) in bytes.iter().enumerate() {
-        match byte {
-            b'\n' if is_line_empty => return Some(position + 1),
-            b'\n' => is_line_empty = true,
-            b'\r' => {}
-            _ => is_line_empty = false,
+    /// Position after the empty line that ends the next event; `None` when that line is missing.
+    fn find_event_end(&mut self) -> Option<usize> {
+        while let Some(byte) = self.buffer.get(self.searched) {
+            self.searched += 1;
+            match byte {
+                b'\n' if self.is_line_empty => return Some(self.searched),
+                b'\n' => self.is_line_empty = true,
+                b'\r' => {}
+                _ => self.is_line_empty = false,
+            }
         }
+        None
     }
-    None
 }
 
 fn parse_event(text: &str, parse_version: fn(&str) -> Option<WeightVersion>) -> Option<StreamEvent> {
