Start short items at once on idle connections

The waves save connections only.

Change: the limit of a wave holds for items that need a new connection.

--- a/src/jobs/grading_queue.rs
+++ b/src/jobs/grading_queue.rs
@@ -11,7 +11,7 @@
 
 use crate::fleet::fleet_view::TargetEntry;
 use crate::fleet::target_load::LoadTable;
-use crate::jobs::item_scheduler::{PlacementContext, list_candidates, pick_candidate};
+use crate::jobs::item_scheduler::{PlacementContext, Preference, list_candidates, pick_candidate};
 use crate::prelude::*;
 
 /// Slots of each target that gradings leave free for requests of callers.
@@ -139,7 +139,7 @@
         let mut starts = Vec::new();
         for item in due_items {
             let Some(pending) = self.pending.iter_mut().find(|pending| pending.item == *item) else { continue };
-            let Some(position) = pick_candidate(&mut candidates, None, loads, context) else { break };
+            let Some(position) = pick_candidate(&mut candidates, &Preference::default(), loads, context) else { break };
             candidates[position].count_start(loads, context.now);
             pending.due = None;
             let timeout = attempt_timeout(objective, limit, pending.lost);
--- a/src/jobs/item_scheduler.rs
+++ b/src/jobs/item_scheduler.rs
@@ -7,8 +7,9 @@
 //! - The longest items start first.
 //! - Items of one group prefer the engine that has already processed their prompt.
 //! - No engine gets more items than it has slots, so that waiting items can still be placed elsewhere.
-//! - Short items run in waves, a part of them at a time. A later wave reuses the connections and slots of the one
-//!   before, which leaves the long items on less loaded engines.
+//! - Short items run in waves, a part of them at a time, as far as they need new connections. A later wave reuses the
+//!   connections of the one before. A short item that finds an idle connection to an engine with a free slot starts at
+//!   once.
 //! - Among engines with about the same load, one with an idle connection is preferred, since a new connection costs
 //!   the engine a handshake.
 
@@ -271,13 +272,10 @@
         let mut candidates = list_candidates(loads, context, 0);
         candidates.retain(|candidate| loads.allows_version(candidate.target, &self.model, self.least_version));
         let mut starts = Vec::new();
-        while let Some(item) = self.find_next_item(context.now) {
+        while let Some((item, must_reuse)) = self.find_next_item(context.now) {
             let group = self.items[item].group;
-            let Some(position) =
-                pick_candidate(&mut candidates, self.groups[group].prompt_target.as_deref(), loads, context)
-            else {
-                break;
-            };
+            let preference = Preference { target: self.groups[group].prompt_target.as_deref(), must_reuse };
+            let Some(position) = pick_candidate(&mut candidates, &preference, loads, context) else { break };
             let candidate = &mut candidates[position];
             candidate.count_start(loads, context.now);
             let target = candidate.target;
@@ -289,16 +287,17 @@
         starts
     }
 
-    /// Finds the longest item that may start now.
-    fn find_next_item(&mut self, now: BootTime) -> Option<usize> {
+    /// Finds the longest item that may start now, and whether it may only start on an idle connection, as a short item
+    /// beyond the wave does.
+    fn find_next_item(&mut self, now: BootTime) -> Option<(usize, bool)> {
         let is_short_limited = now.saturating_sub(*self.started_at.get_or_insert(now)) < WAVE_TIMEOUT;
         let is_running_short = |item: &&ScheduledItem| item.is_short && matches!(item.state, ItemState::Running(_));
         let can_start_short =
             !is_short_limited || self.items.iter().filter(is_running_short).count() < self.max_running_short;
-        let can_start = |item: &ScheduledItem| {
-            matches!(item.state, ItemState::Waiting(due) if due <= now) && (can_start_short || !item.is_short)
-        };
-        self.longest_first.iter().copied().find(|item| can_start(&self.items[*item]))
+        let is_due = |item: &usize| matches!(self.items[*item].state, ItemState::Waiting(due) if due <= now);
+        let item = self.longest_first.iter().copied().find(is_due)?;
+        // Short items are the last in this order, so no long item is due when the first due one is short.
+        Some((item, self.items[item].is_short && !can_start_short))
     }
 
     /// Records how a run ended; returns whether the item must be abandoned.
@@ -420,16 +419,27 @@
     candidates.filter(|candidate| candidate.used_slots < candidate.max_slots).collect()
 }
 
-/// Picks the candidate that runs the next request and returns its position; `prompt_target` is the one that already
-/// has the prompt. Removes cold candidates whose cold start quota is used up.
+/// What the next request asks of its target.
+#[derive(Debug, Default)]
+pub struct Preference<'a> {
+    /// Target that already has the prompt of the request, if any.
+    pub target: Option<&'a str>,
+    /// Whether the request may only start on an idle connection.
+    pub must_reuse: bool,
+}
+
+/// Picks the candidate that runs the next request and returns its position. Removes cold candidates whose cold start
+/// quota is used up.
 pub fn pick_candidate(
     candidates: &mut Vec<Candidate<'_>>,
-    prompt_target: Option<&str>,
+    preference: &Preference<'_>,
     loads: &mut LoadTable,
     context: &PlacementContext<'_>,
 ) -> Option<usize> {
     loop {
-        let has_room = |candidate: &Candidate<'_>| candidate.used_slots < candidate.max_slots;
+        let has_room = |candidate: &Candidate<'_>| {
+            candidate.used_slots < candidate.max_slots && (!preference.must_reuse || candidate.idle_connections > 0)
+        };
         let positions = candidates.iter().enumerate().filter(|(_, candidate)| has_room(candidate));
         let (best, candidate) = positions.min_by_key(|(_, candidate)| candidate.cost())?;
         if candidate.is_cold {
@@ -441,7 +451,7 @@
             }
         }
         let (_, least_load, _) = candidate.cost();
-        let preferred = prompt_target.and_then(|id| {
+        let preferred = preference.target.and_then(|id| {
             let position = candidates.binary_search_by(|candidate| candidate.target.id.as_str().cmp(id)).ok()?;
             let preferred = &candidates[position];
             let is_load_close = preferred.cost().1 <= least_load + MAX_AFFINITY_EXCESS;
--- a/tests/integration/jobs/waves.rs
+++ b/tests/integration/jobs/waves.rs
@@ -36,6 +36,10 @@
 
 /// Simulates a step of 13 groups of 16 items on 22 engines, with expected lengths from `hint`.
 fn run_step(hint: fn(usize) -> u64) -> StepRun {
+    run_step_with(hint, &IdleConnections::default())
+}
+
+fn run_step_with(hint: fn(usize) -> u64, idle_connections: &IdleConnections) -> StepRun {
     let mut spec: JobSpec = spec(13, 16);
     for (position, item) in spec.items.iter_mut().enumerate() {
         item.expected_tokens = u32::try_from(hint(position)).expect("hints are small");
@@ -56,9 +60,8 @@
             scheduler.record_run_end(item, RunOutcome::Complete, now);
         }
         let hosts = ["h1"];
-        let idle_connections = IdleConnections::default();
         let context = PlacementContext {
-            idle_connections: &idle_connections,
+            idle_connections,
             view: &view,
             service: "models",
             cold_rate: 11.0,
@@ -111,3 +114,12 @@
     let run = run_step(|_| 10);
     expect_that!(run.max_running, eq(208));
 }
+
+/// Guards against short items that wait for their wave although idle connections to engines with free slots are left from
+/// the step before: all 208 items start at once, on 12 idle connections to each of the 22 engines.
+#[gtest]
+fn short_items_start_at_once_on_idle_connections() {
+    let idle_addresses = vec![engine("e00", 1).address; 12];
+    let run = run_step_with(event_count, &IdleConnections::new(idle_addresses));
+    expect_that!(run.max_running, eq(208));
+}
