Answer every request that was read during a planned stop, and end stalled responses

Cause: from 2.5 s after SIGTERM on, a new connection was shut down before its request was read, and the process ended as soon as no target ran a request, also while a submission or a read waited for the store. A forwarded stream had no limit on its pauses.

Change: a connection that is accepted during the stop gets one answer. After half of the stop limit no connection is accepted any more, and the process ends when the connections with a request have ended, at 85% of the limit at the latest. A forwarded response breaks off when its target makes no progress for four times the objective, two seconds at least; in an event stream only whole events are progress.

--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -1,7 +1,7 @@
 //! State that the tasks of a running host share, and the guard that counts a request as running.
 
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use tokio::sync::watch;
 
@@ -43,6 +43,8 @@
     pub target_codec: TargetCodec,
     /// Wire format between callers and hosts.
     pub caller_codec: CallerCodec,
+    /// Connections of callers on which a request has arrived.
+    pub busy_connections: AtomicUsize,
     /// Set when a planned stop begins; read by [`Self::is_stopping`].
     pub stopping: AtomicBool,
     /// Set when a planned stop hands the batch jobs to other hosts; read by [`Self::must_release_jobs`].
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -27,7 +27,7 @@
 use crate::options::schema_check::ConfigError;
 use crate::prelude::*;
 use crate::relay::caller_codec::CallerCodec;
-use crate::relay::caller_server::{serve_callers, serve_status};
+use crate::relay::caller_server::{ServerPhase, serve_callers, serve_status};
 use crate::relay::connection_pool::ConnectionPool;
 use crate::relay::reply::ResponseBody;
 use crate::relay::target_codec::TargetCodec;
@@ -103,6 +103,7 @@
         metrics: HostMetrics::new().map_err(std::io::Error::other)?,
         target_codec: dependencies.target_codec,
         caller_codec: dependencies.caller_codec,
+        busy_connections: AtomicUsize::new(0),
         stopping: AtomicBool::new(false),
         releasing: AtomicBool::new(false),
         settings: dependencies.settings,
@@ -169,14 +170,14 @@
         let answer_metrics_read = move || (StatusCode::OK, metrics_context.metrics.render(&metrics_context));
         tokio::spawn(serve_status(address, Arc::new(answer_metrics_read)));
     }
-    let (closing_sender, closing_receiver) = watch::channel(false);
+    let (phase_sender, phase_receiver) = watch::channel(ServerPhase::Serving);
     let handler_context = Arc::clone(&context);
     let handler = Arc::new(move |request: Request<Incoming>| {
         let context = Arc::clone(&handler_context);
         Box::pin(async move { answer_caller(context, request).await })
             as std::pin::Pin<Box<dyn Future<Output = Response<ResponseBody>> + Send>>
     });
-    let caller_server = tokio::spawn(serve_callers(Arc::clone(&context), listener, handler, closing_receiver));
+    let caller_server = tokio::spawn(serve_callers(Arc::clone(&context), listener, handler, phase_receiver));
     let job_task = tokio::spawn(run_job_takeover(Arc::clone(&context)));
     log::info!(
         incarnation = context.incarnation, domain = context.settings.failure_domain,
@@ -195,12 +196,13 @@
     let stop_limit = Duration::from_secs_f64(context.settings.stop_limit_seconds);
     tokio::time::sleep(DRAIN_DELAY).await;
     // The send fails only without a receiver, and then no connection is open.
-    let _ = closing_sender.send(true);
+    let _ = phase_sender.send(ServerPhase::Closing);
     tokio::time::sleep(stop_limit.mul_f64(RELEASE_FRACTION).saturating_sub(DRAIN_DELAY)).await;
     context.releasing.store(true, Ordering::Release);
+    let _ = phase_sender.send(ServerPhase::Refusing);
     while boot_time().saturating_sub(stop_requested_at) < stop_limit.mul_f64(EXIT_FRACTION) {
         let is_idle = context.with_loads(|loads| loads.loads().iter().all(|load| load.running == 0));
-        if is_idle {
+        if is_idle && context.busy_connections.load(Ordering::Acquire) == 0 {
             break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -1,10 +1,13 @@
 //! HTTP servers for callers, for the readiness checks of the load balancer, and for metrics.
 //!
 //! A planned stop first makes the host report that it is not ready and asks callers to close their connections.
-//! Connections are then closed once their requests have been answered.
+//! Connections are then closed once their requests have been answered; a new connection still gets one answer. At last no
+//! connection is accepted any more, and the host waits for the requests that it has read.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::OnceLock;
+use std::sync::atomic::Ordering;
 
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -30,19 +33,33 @@
     dyn Fn(Request<Incoming>) -> std::pin::Pin<Box<dyn Future<Output = Response<ResponseBody>> + Send>> + Send + Sync,
 >;
 
-/// Accepts callers' connections until the process ends.
-///
-/// Once `closing` is true, each connection is closed after the request that it is handling, or at once if idle.
+/// Phase of a host's life, as far as callers' connections are concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServerPhase {
+    /// Connections are kept open for further requests.
+    Serving,
+    /// Each connection is closed after the request that it is handling, or at once if idle; a new one after its first.
+    Closing,
+    /// No further connection is accepted.
+    Refusing,
+}
+
+/// Accepts callers' connections until the phase is [`ServerPhase::Refusing`] and those that wait have been accepted.
 pub async fn serve_callers(
     context: Arc<HostContext>,
     listener: TcpListener,
     handler: CallerHandler,
-    closing: watch::Receiver<bool>,
+    mut phase: watch::Receiver<ServerPhase>,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == ServerPhase::Refusing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(Arc::clone(&context), stream, Arc::clone(&handler), closing.clone()));
+                tokio::spawn(serve_connection(Arc::clone(&context), stream, Arc::clone(&handler), phase.clone()));
             }
             Err(error) => {
                 log::warn!(error = error.to_string(); "accept_failed");
@@ -52,16 +69,38 @@
     }
 }
 
+/// Counts a connection from its first request until the connection ends; during a planned stop, connections end with
+/// the request that they are handling.
+#[derive(Debug)]
+struct BusyConnection(Arc<HostContext>);
+
+impl BusyConnection {
+    fn new(context: &Arc<HostContext>) -> Self {
+        context.busy_connections.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(context))
+    }
+}
+
+impl Drop for BusyConnection {
+    fn drop(&mut self) {
+        self.0.busy_connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 async fn serve_connection(
     context: Arc<HostContext>,
     stream: TcpStream,
     handler: CallerHandler,
-    mut closing: watch::Receiver<bool>,
+    mut phase: watch::Receiver<ServerPhase>,
 ) {
     let _ = stream.set_nodelay(true);
+    // A shutdown of a connection without a request would close it at once, although its request may be on the way.
+    let mut is_closing = *phase.borrow() >= ServerPhase::Closing;
+    let busy = OnceLock::new();
     let limits = context.view().services.as_ref().map(|services| services.limits);
     let idle_time = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time);
     let service = service_fn(move |request: Request<Incoming>| {
+        busy.get_or_init(|| BusyConnection::new(&context));
         let response = handler(request);
         let context = Arc::clone(&context);
         async move {
@@ -77,14 +116,14 @@
         // The operator configures this timeout; it covers the wait for the next request and the arrival of its head.
         .header_read_timeout(idle_time)
         .half_close(false)
+        .keep_alive(!is_closing)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut is_closing = false;
     loop {
         tokio::select! {
             // A disconnect needs no log line; dropping the connection cancels the caller's request.
             _ = connection.as_mut() => return,
-            _ = closing.wait_for(|closing| *closing), if !is_closing => {
+            _ = phase.wait_for(|phase| *phase >= ServerPhase::Closing), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -20,6 +20,7 @@
 use crate::prelude::*;
 use crate::relay::attempt_plan::{ChoiceContext, choose_target, hedge_delay};
 use crate::relay::connection_pool::{Exchange, ExchangeError, PooledConnection};
+use crate::relay::event_reader::EventReader;
 use crate::relay::reply::{BodyError, ResponseBody, code_reply, whole_body};
 use crate::relay::target_codec::{SendOptions, TargetHead, TargetRequest};
 
@@ -305,7 +306,12 @@
         }
     }
     let idle_limit = target_head.idle_limit;
+    let pause_limit = (relay.route.objective * STREAM_PAUSE_OBJECTIVES).max(MIN_STREAM_PAUSE);
     let streamed = StreamedResponse {
+        request_id: relay.request.request_id.clone(),
+        events: is_stream.then(EventReader::new),
+        pause_limit,
+        stalls_at: tokio::time::Instant::now() + pause_limit,
         context: Arc::clone(context),
         connection: Some(connection),
         idle_limit,
@@ -323,22 +329,45 @@
     if is_failure { AttemptOutcome::TargetFailed(response) } else { AttemptOutcome::Answered(response) }
 }
 
+/// Shortest pause after which a forwarded response counts as stalled; callers leave a stream after such a pause.
+const MIN_STREAM_PAUSE: Duration = Duration::from_secs(2);
+
+/// A forwarded response may pause for this many times the objective of its route.
+const STREAM_PAUSE_OBJECTIVES: u32 = 4;
+
 /// Rest of a response whose body is forwarded as it arrives.
 struct StreamedResponse {
     context: Arc<HostContext>,
     connection: Option<PooledConnection>,
     idle_limit: Option<Duration>,
     body: Incoming,
+    /// Id of the request, for the log.
+    request_id: RequestId,
+    /// Finds the events of an event stream; `None` when any data counts as progress.
+    events: Option<EventReader>,
+    /// Time without progress after which the response breaks off.
+    pause_limit: Duration,
+    /// When the response breaks off without further progress.
+    stalls_at: tokio::time::Instant,
     #[expect(dead_code, reason = "counts the request until the stream ends")]
     running_request: RunningRequest,
 }
 
 async fn next_frame(mut streamed: StreamedResponse) -> Option<(Result<Frame<Bytes>, BodyError>, StreamedResponse)> {
-    match streamed.body.frame().await {
-        Some(Ok(frame)) => Some((Ok(frame), streamed)),
-        // The error aborts the caller's connection, so that a partial response never looks complete.
-        Some(Err(error)) => Some((Err(error.into()), streamed)),
-        None => {
+    // An error aborts the caller's connection, so that a partial response never looks complete.
+    match tokio::time::timeout_at(streamed.stalls_at, streamed.body.frame()).await {
+        Ok(Some(Ok(frame))) => {
+            if makes_progress(&frame, streamed.events.as_mut()) {
+                streamed.stalls_at = tokio::time::Instant::now() + streamed.pause_limit;
+            }
+            Some((Ok(frame), streamed))
+        }
+        Ok(Some(Err(error))) => Some((Err(error.into()), streamed)),
+        Err(_) => {
+            log::info!(request = streamed.request_id, pause_ms = whole_millis(streamed.pause_limit); "response_stalled");
+            Some((Err("the target stalled".into()), streamed))
+        }
+        Ok(None) => {
             if let Some(connection) = streamed.connection.take() {
                 streamed.context.pool.give_back(connection, streamed.idle_limit);
             }
@@ -347,6 +376,12 @@
     }
 }
 
+/// Whether a frame has data and, in an event stream, completes an event: a stalled target may still send comments.
+fn makes_progress(frame: &Frame<Bytes>, events: Option<&mut EventReader>) -> bool {
+    let Some(data) = frame.data_ref() else { return false };
+    events.map_or(!data.is_empty(), |reader| reader.push(data, |_| None).is_ok_and(|events| !events.is_empty()))
+}
+
 /// Wrapper around the stream of body frames of a forwarded response; only delegates.
 struct FrameStream<S>(S);
 
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -90,6 +90,7 @@
         metrics: HostMetrics::new().expect("the names are valid"),
         target_codec: TARGET_CODEC,
         caller_codec: CALLER_CODEC,
+        busy_connections: AtomicUsize::new(0),
         stopping: AtomicBool::new(false),
         releasing: AtomicBool::new(false),
     })
@@ -114,7 +115,7 @@
 
 /// Starts an engine that reads one request, sends `head` and then `piece` again and again with a pause before each, until
 /// the connection is closed; returns its address.
-fn serve_pieces(head: &'static str, piece: fn(usize) -> String, pause: Duration) -> SocketAddr {
+pub fn serve_pieces(head: &'static str, piece: fn(usize) -> String, pause: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
     std::thread::spawn(move || {
--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -9,14 +9,16 @@
 use camphorspring::entry::host_context::HostContext;
 use camphorspring::fleet::service_map::{RouteKind, RouteRule, WeightedService};
 use camphorspring::relay::plain_relay::{RelayRequest, relay_request};
+use camphorspring::relay::reply::ResponseBody;
 use camphorspring::relay::target_codec::TargetRequest;
 use googletest::prelude::*;
-use hyper::Method;
+use http_body_util::BodyExt;
 use hyper::header::HeaderMap;
+use hyper::{Method, Response};
 use tokio::sync::watch;
 
 use crate::fleet::builders::{at, engine, plain_route, view};
-use crate::jobs::item_http::context_with_view;
+use crate::jobs::item_http::{context_with_view, serve_pieces};
 
 /// Starts a target that answers the first request on its connection, and answers the second one with `extra` and its own
 /// response in one packet; returns its address and the number of requests that it got.
@@ -45,13 +47,20 @@
     (address, requests)
 }
 
+fn context_with_target(address: SocketAddr) -> Arc<HostContext> {
+    let mut target = engine("p1", 1);
+    target.address = address;
+    let (_, view) = watch::channel(Arc::new(view(vec![target], &["h1"], boot_time())));
+    context_with_view(view)
+}
+
 fn route(kind: RouteKind) -> RouteRule {
     let services = vec![WeightedService { service: "models".to_owned(), weight: 1 }];
     RouteRule { kind, services, attempts: 1, timeout: Some(at(2000)), ..plain_route() }
 }
 
-/// Sends request `r<number>` through the relay; returns the status that the caller gets.
-async fn send(context: &Arc<HostContext>, route: &RouteRule, number: u32) -> u16 {
+/// Sends request `r<number>` through the relay; returns the response that the caller gets.
+async fn send(context: &Arc<HostContext>, route: &RouteRule, number: u32) -> Response<ResponseBody> {
     let request = TargetRequest {
         method: Method::POST,
         path: "/plain/x".to_owned(),
@@ -62,22 +71,20 @@
         body: Bytes::new(),
     };
     let relay = RelayRequest { request, route, view: context.view(), arrived_at: boot_time(), patience: None };
-    relay_request(context, relay).await.status().as_u16()
+    relay_request(context, relay).await
 }
 
 /// Sends two requests of a route to one target, the second on the connection of the first; returns the status of the
 /// second one, and the number of requests that reached the target.
 fn second_status(kind: RouteKind, extra: &'static str) -> (u16, u32) {
     let (address, requests) = serve_with_extra_response(extra);
-    let mut target = engine("p1", 1);
-    target.address = address;
-    let (_, view) = watch::channel(Arc::new(view(vec![target], &["h1"], boot_time())));
-    let context = context_with_view(view);
+    let context = context_with_target(address);
     let route = route(kind);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("the runtime starts");
     let status = runtime.block_on(async {
-        assert_eq!(send(&context, &route, 1).await, 200);
-        send(&context, &route, 2).await
+        // Reading the response to its end gives its connection back.
+        assert_eq!(send(&context, &route, 1).await.status(), 200);
+        send(&context, &route, 2).await.status().as_u16()
     });
     let requests = *requests.lock().expect("no thread panicked");
     (status, requests)
@@ -104,3 +111,38 @@
     let failure = "HTTP/1.1 500 Failed\r\nstamp: s\r\ncontent-length: 2\r\n\r\nno";
     expect_that!(second_status(RouteKind::Repeatable, failure), eq((502, 2)));
 }
+
+/// Reads a forwarded event stream to its end; returns the number of bytes, and whether the stream is complete.
+fn read_stream(address: SocketAddr) -> (usize, bool) {
+    let context = context_with_target(address);
+    let route = route(RouteKind::Repeatable);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("the runtime starts");
+    runtime.block_on(async {
+        let mut body = send(&context, &route, 1).await.into_body();
+        let mut length = 0;
+        let read = async {
+            loop {
+                match body.frame().await {
+                    Some(Ok(frame)) => length += frame.data_ref().map_or(0, Bytes::len),
+                    Some(Err(_)) => return false,
+                    None => return true,
+                }
+            }
+        };
+        let is_complete = tokio::time::timeout(at(30_000), read).await.expect("the stream ends");
+        (length, is_complete)
+    })
+}
+
+/// Guards against a forwarded stream that never ends, because its target has stalled and sends a comment line now and
+/// then, and against a slow one that is cut although it makes progress. The pause limit is 2 s.
+#[gtest]
+fn stalled_streams_end_and_slow_ones_do_not() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: s\r\ncontent-type: text/event-stream\r\n\
+                        transfer-encoding: chunked\r\n\r\n";
+    let stalled = |_| "3\r\n:\n\n\r\n".to_owned();
+    expect_that!(read_stream(serve_pieces(HEAD, stalled, at(300))).1, eq(false));
+    // The stream lasts 3.6 s.
+    let slow = |number| if number <= 12 { "9\r\ndata: x\n\n\r\n".to_owned() } else { "0\r\n\r\n".to_owned() };
+    expect_that!(read_stream(serve_pieces(HEAD, slow, at(300))), eq((12 * 9, true)));
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod reload;
 #[path = "../../platform/stand_ins/mod.rs"]
 mod stand_ins;
+mod stop;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
