--- a/src/dispatch/coordinated_target.rs
+++ b/src/dispatch/coordinated_target.rs
@@ -157,7 +157,7 @@
         self.in_flight.saturating_add(self.uncounted_running.max(self.lost_permits))
     }
 
-    /// Whether a load report arrived within the last [`LOAD_REPORT_TIMEOUT`].
+    /// Whether a load report arrived within the last `LOAD_REPORT_TIMEOUT`.
     #[must_use]
     pub fn has_recent_report(&self, now: BootTime) -> bool {
         self.reported_at.is_some_and(|reported_at| now.saturating_sub(reported_at) < LOAD_REPORT_TIMEOUT)
--- a/src/dispatch/target_probe.rs
+++ b/src/dispatch/target_probe.rs
@@ -32,7 +32,7 @@
     pub after_event: u64,
 }
 
-/// Probes all engines with at most [`MAX_PROBE_THREADS`] threads and passes on what each reports.
+/// Probes all engines with at most `MAX_PROBE_THREADS` threads and passes on what each reports.
 ///
 /// A call that fails, times out or returns invalid data is not reported; the next round tries again.
 pub fn run_probes(
--- a/src/dispatch/ticket_table.rs
+++ b/src/dispatch/ticket_table.rs
@@ -76,7 +76,7 @@
     Granted(GrantedPermit),
     /// The ticket was released, cancelled, refused or has expired.
     Ended {
-        /// Time of the end; the ticket is forgotten [`ENDED_TICKET_RETENTION`] later.
+        /// Time of the end; the ticket is forgotten `ENDED_TICKET_RETENTION` later.
         ended_at: BootTime,
     },
 }
--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -45,7 +45,7 @@
 
 impl RunnerDependencies {
     /// Sleeps until the next attempt may start: for the retry delay, and for at least
-    /// [`CRASH_SETTLE`](crate::traffic::quarantine::CRASH_SETTLE) if a recent crash involved the request, so that crash
+    /// `CRASH_SETTLE` if a recent crash involved the request, so that crash
     /// notices of other hosts arrive first.
     ///
     /// # Errors
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -94,7 +94,7 @@
 
     /// Records that a request ended without a crash. If the request is not in flight any more, another request has
     /// reported a crash of the target. The target did not crash, since it has just served this request: only the
-    /// connection of the other request broke. The crash is removed unless it is older than [`CRASH_MERGE_PERIOD`].
+    /// connection of the other request broke. The crash is removed unless it is older than `CRASH_MERGE_PERIOD`.
     pub fn record_end(&mut self, target: &str, fingerprint: &str, now: BootTime) {
         if let Ok(position) = self.find_in_flight(target, fingerprint) {
             self.in_flight[position].count -= 1;
--- a/src/usage/usage_ledger.rs
+++ b/src/usage/usage_ledger.rs
@@ -81,8 +81,8 @@
         }
     }
 
-    /// Seals the open usage as [`Self::seal_open_usage`] does; while there are more than [`UNFLUSHED_ROWS_THRESHOLD`]
-    /// unflushed rows, this is done only once each [`OUTAGE_SEAL_PERIOD`].
+    /// Seals the open usage as [`Self::seal_open_usage`] does; while there are more than `UNFLUSHED_ROWS_THRESHOLD`
+    /// unflushed rows, this is done only once each `OUTAGE_SEAL_PERIOD`.
     ///
     /// # Errors
     ///
