Read the diff once more: join loops in one function, conditions with names

The ends of runs and of gradings are collected by one function; the conditions of a save have names; the constants of forwarded streams stand with the others. No change of behaviour.

--- a/src/jobs/job_progress.rs
+++ b/src/jobs/job_progress.rs
@@ -82,12 +82,15 @@
     pub fn next_segment(&mut self, item: usize, progress: &ItemProgress) -> Option<ProgressSegment> {
         let saved = self.saved[item];
         let index = saved.events;
-        let is_known = progress.data.len() == index && progress.is_complete == saved.is_complete;
-        if is_known || progress.data.len() < index || (progress.data.len() < MIN_SAVED_EVENTS && !progress.is_complete)
-        {
+        let length = progress.data.len();
+        // A run on another weight version may have dropped the output that was saved.
+        let is_shorter = length < index;
+        let is_saved = length == index && progress.is_complete == saved.is_complete;
+        let is_too_short = length < MIN_SAVED_EVENTS && !progress.is_complete;
+        if is_shorter || is_saved || is_too_short {
             return None;
         }
-        self.saved[item] = SavedLength { events: progress.data.len(), is_complete: progress.is_complete };
+        self.saved[item] = SavedLength { events: length, is_complete: progress.is_complete };
         Some(ProgressSegment {
             item,
             index,
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -4,7 +4,7 @@
 
 use std::sync::{Mutex, PoisonError};
 
-use tokio::task::JoinSet;
+use tokio::task::{JoinError, JoinSet};
 
 use crate::entry::host_context::{HostContext, RunningRequest};
 use crate::fleet::fleet_view::FleetView;
@@ -74,6 +74,15 @@
     }
 }
 
+/// Results of the tasks that have ended, `first` included; aborted tasks are left out.
+fn collect_ended<T: 'static>(first: Result<T, JoinError>, tasks: &mut JoinSet<T>) -> Vec<T> {
+    let mut ended: Vec<T> = first.into_iter().collect();
+    while let Some(joined) = tasks.try_join_next() {
+        ended.extend(joined);
+    }
+    ended
+}
+
 #[derive(Debug)]
 struct JobRunner {
     context: Arc<HostContext>,
@@ -365,11 +374,11 @@
         let hosts: Vec<&str> = view.live_members().map(|member| member.host.as_str()).collect();
         let idle_connections = IdleConnections::new(self.context.pool.idle_addresses());
         let spec = Arc::clone(&self.spec);
-        // Neighbours in the order of due items mostly have the same route.
         let route_of = |item: &usize| {
             let grading = spec.items[*item].grading.as_ref()?;
             services.route(&grading.host, &grading.path)
         };
+        // Items are placed route by route, in their order.
         for items in due_items.chunk_by(|one, other| route_of(one) == route_of(other)) {
             let Some(route) = route_of(&items[0]) else { continue };
             let Some(service) = route.services.first().map(|weighted| weighted.service.as_str()) else { continue };
@@ -401,24 +410,14 @@
         let board = &self.context.board;
         tokio::select! {
             Some(joined) = self.runs.join_next(), if !self.runs.is_empty() => {
-                if let Ok((item, outcome)) = joined {
+                for (item, outcome) in collect_ended(joined, &mut self.runs) {
                     self.record_run_end(item, outcome);
                 }
-                while let Some(joined) = self.runs.try_join_next() {
-                    if let Ok((item, outcome)) = joined {
-                        self.record_run_end(item, outcome);
-                    }
-                }
             }
             Some(joined) = self.grading_runs.join_next(), if !self.grading_runs.is_empty() => {
-                if let Ok((item, outcome)) = joined {
+                for (item, outcome) in collect_ended(joined, &mut self.grading_runs) {
                     self.record_grading_end(item, outcome);
                 }
-                while let Some(joined) = self.grading_runs.try_join_next() {
-                    if let Ok((item, outcome)) = joined {
-                        self.record_grading_end(item, outcome);
-                    }
-                }
             }
             () = board.wait_change(poll_interval) => {}
         }
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -39,6 +39,12 @@
 /// Time before the deadline that is reserved for sending an error response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
+/// Shortest pause after which a forwarded response counts as stalled; callers leave a stream after such a pause.
+const MIN_STREAM_PAUSE: Duration = Duration::from_secs(2);
+
+/// A forwarded response may pause for this many times the objective of its route.
+const STREAM_PAUSE_OBJECTIVES: u32 = 4;
+
 /// Outcome of one attempt.
 #[derive(Debug)]
 enum AttemptOutcome {
@@ -329,12 +335,6 @@
     if is_failure { AttemptOutcome::TargetFailed(response) } else { AttemptOutcome::Answered(response) }
 }
 
-/// Shortest pause after which a forwarded response counts as stalled; callers leave a stream after such a pause.
-const MIN_STREAM_PAUSE: Duration = Duration::from_secs(2);
-
-/// A forwarded response may pause for this many times the objective of its route.
-const STREAM_PAUSE_OBJECTIVES: u32 = 4;
-
 /// Rest of a response whose body is forwarded as it arrives.
 struct StreamedResponse {
     context: Arc<HostContext>,
--- a/tests/integration/jobs/gradings.rs
+++ b/tests/integration/jobs/gradings.rs
@@ -57,7 +57,7 @@
     expect_that!(queue.has_waiting(), eq(true));
 }
 
-/// Guards against groups that all end late because their gradings take turns: of 64 complete outputs, those of the group
+/// Guards against groups that all end late because their gradings take turns: of seven complete outputs, those of the group
 /// that lacks the fewest items must be graded first.
 #[gtest]
 fn group_that_lacks_the_fewest_items_is_graded_first() {
