Reset connections that are closed, so that abandoned requests do not arrive later

The kernel went on sending the request and the engine got it after the cut, up to seconds after its job had ended (UNASKED). It could happen to every exchange of the pool: items, gradings, plain requests, store calls and duties.

Change: sockets of the pool have a linger time of zero, so that closing them resets the connection and drops what was not delivered.

Result: the new test saw an end of stream before and a reset now.

--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -39,7 +39,7 @@
     Broken,
 }
 
-/// An open connection; dropping it closes the socket.
+/// An open connection; dropping it resets the connection.
 #[derive(Debug)]
 pub struct PooledConnection {
     address: SocketAddr,
@@ -165,6 +165,11 @@
         let stream = stream.ok().and_then(Result::ok).ok_or(ExchangeError::NotConnected)?;
         // With Nagle's algorithm, a small request could wait for the acknowledgement of the previous one.
         let _ = stream.set_nodelay(true);
+        // Closing the socket resets the connection. Otherwise the kernel would go on sending an abandoned request while
+        // a link is cut, and the server would get it seconds later.
+        if let Err(error) = stream.set_zero_linger() {
+            log::warn!(address:% = address, error = error.to_string(); "linger_not_set");
+        }
         self.opened.fetch_add(1, Ordering::Relaxed);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| ExchangeError::NotConnected)?;
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -281,3 +281,23 @@
     let headers = serve_pieces("HTTP/1.1 200 OK\r\n", |number| format!("x{number}: y\r\n"), Duration::ZERO);
     expect_that!(run_at(headers, 0, STREAM_PAUSE).0, eq(RunOutcome::Broken));
 }
+
+/// Guards against an abandoned request that reaches its engine seconds later. While a link is cut, the kernel keeps the
+/// bytes of a closed connection and sends them once the link is back; those of a reset connection are dropped.
+#[gtest]
+fn abandoned_runs_reset_their_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let engine = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the run connects");
+        loop {
+            match stream.read(&mut [0; 4096]) {
+                Ok(0) => return None,
+                Ok(_) => {}
+                Err(error) => return Some(error.kind()),
+            }
+        }
+    });
+    expect_that!(run_at(address, 0, Duration::from_millis(100)).0, eq(RunOutcome::Stalled));
+    expect_that!(engine.join().expect("the engine ends"), some(eq(std::io::ErrorKind::ConnectionReset)));
+}
