Read the rate limits that targets announce, publish and log them

Cause: a target in need names in its responses how many requests a second it takes from all hosts together. Nothing read the header, so that neither logs nor metrics could tell whether hosts know a limit.

Change: the adapter decodes the header; each host keeps the newest notice of each target by the store's clock, publishes it in its row and takes over those of others; log line target_limit_changed, gauge limited_targets. Nothing is enforced yet.

--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -14,6 +14,7 @@
 use crate::fleet::member_row::{
     MEMBER_RENEWAL, MEMBER_TABLE, MemberRow, RunningCount, host_capacity, member_partition, member_parts,
 };
+use crate::fleet::target_limit::LimitNotice;
 use crate::jobs::job_record::{JOB_TABLE, job_partitions};
 use crate::policy::shard_map::rendezvous_hash;
 use crate::prelude::*;
@@ -161,9 +162,11 @@
             outage_log.record_event(&event, now);
             publisher.apply_change(|state| state.apply_members(&event, now));
             let settings = &member_context.settings;
-            member_pacer.set_hosts(publisher.sender.borrow().live_members().count());
-            let peers = store_peers(&publisher.sender.borrow(), &settings.host, &settings.failure_domain);
+            let view = Arc::clone(&publisher.sender.borrow());
+            member_pacer.set_hosts(view.live_members().count());
+            let peers = store_peers(&view, &settings.host, &settings.failure_domain);
             with_store_router(&store_router, |router| router.set_peers(&peers));
+            adopt_limits(&member_context, &view);
         },
     );
     let mut outage_log = FeedOutageLog::new(JOB_TABLE);
@@ -194,6 +197,19 @@
     tokio::join!(operators, targets, members, jobs, lease, renew_member(context, store));
 }
 
+/// Takes over the rate limits of targets that other hosts publish.
+fn adopt_limits(context: &HostContext, view: &FleetView) {
+    let others = view.live_members().filter(|member| member.host != context.settings.host);
+    let notices = others.flat_map(|member| member.row.limits.iter().map(move |notice| (&member.host, notice)));
+    for (host, notice) in notices.filter(|(_, notice)| view.target(&notice.target).is_some()) {
+        if context.with_loads(|loads| loads.limits.merge(notice.clone())) {
+            log::info!(target = notice.target, milli_rate:? = notice.rate, from = host; "target_limit_changed");
+        }
+    }
+    let store_time = (context.store.store_time)().unwrap_or_default();
+    context.with_loads(|loads| loads.limits.retain_known(view, store_time));
+}
+
 /// Addresses of the live hosts that relay store calls for `own_host`. Hosts of `own_domain` come first; otherwise the
 /// order is by a hash that differs from host to host, so that the calls spread over all peers. Hosts that are stopping,
 /// or whose row has no valid peer address, are left out.
@@ -237,6 +253,7 @@
                 let busy = loads.loads().iter().filter(|load| load.job_running > 0);
                 busy.map(|load| RunningCount { target: load.target.clone(), count: load.job_running }).collect()
             }),
+            limits: limits_to_publish(&context),
         };
         let write = RowContent {
             table: MEMBER_TABLE,
@@ -247,12 +264,25 @@
         let transaction = PartitionTransaction { part, writes: vec![write], ..PartitionTransaction::default() };
         // A failed renewal is made up for by the next one, and the watchers log the outage of the store.
         let _ = (store.transact)(transaction).await;
-        // The start of a planned stop is published within a tenth of the period, so that no more jobs come here.
+        // The start of a planned stop is published within a tenth of the period, so that no more jobs come here, and so
+        // is a change of the limits of targets.
         for _ in 0..10 {
             tokio::time::sleep(MEMBER_RENEWAL / 10).await;
-            if context.is_stopping() != row.is_stopping {
+            if context.is_stopping() != row.is_stopping || !has_same_limits(&limits_to_publish(&context), &row.limits) {
                 break;
             }
         }
     }
 }
+
+fn limits_to_publish(context: &HostContext) -> Vec<LimitNotice> {
+    context.with_loads(|loads| loads.limits.notices_to_publish(&context.view(), &context.settings.host))
+}
+
+/// Whether two lists name the same limits, whenever the targets announced them.
+fn has_same_limits(one: &[LimitNotice], other: &[LimitNotice]) -> bool {
+    let limits = |notices: &[LimitNotice]| -> Vec<(TargetId, Option<MilliRate>)> {
+        notices.iter().map(|notice| (notice.target.clone(), notice.rate)).collect()
+    };
+    limits(one) == limits(other)
+}
--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -9,12 +9,13 @@
 use crate::entry::host_metrics::HostMetrics;
 use crate::entry::settings::InstallationSettings;
 use crate::fleet::fleet_view::FleetView;
+use crate::fleet::target_limit::LimitNotice;
 use crate::fleet::target_load::LoadTable;
 use crate::jobs::job_cache::JobCache;
 use crate::prelude::*;
 use crate::relay::caller_codec::CallerCodec;
 use crate::relay::connection_pool::ConnectionPool;
-use crate::relay::target_codec::TargetCodec;
+use crate::relay::target_codec::{TargetCodec, TargetHead};
 use crate::row_store::RowStore;
 
 /// State that the thread for callers and the control thread share.
@@ -78,6 +79,22 @@
     }
 }
 
+impl HostContext {
+    /// Records the rate limit that a response of a target announces. A response to a request that was run ends an earlier
+    /// limit if it announces none; a refusal says nothing about that, and a misdirected request reached another target.
+    pub fn record_limit(&self, target: &str, head: &TargetHead) {
+        let rate = head.rate_limit;
+        if head.is_misdirected || (head.is_not_run && rate.is_none()) {
+            return;
+        }
+        let at_ms = (self.store.store_time)().map_or(0, whole_millis);
+        let notice = LimitNotice { target: target.to_owned(), rate, at_ms };
+        if self.with_loads(|loads| loads.limits.merge(notice)) {
+            log::info!(target = target, milli_rate:? = rate; "target_limit_changed");
+        }
+    }
+}
+
 /// Guard of a request that the load table counts as running on a target; dropping the guard ends the count.
 #[derive(Debug)]
 pub struct RunningRequest {
--- a/src/entry/host_metrics.rs
+++ b/src/entry/host_metrics.rs
@@ -37,6 +37,7 @@
     live_hosts: IntGauge,
     open_jobs: IntGauge,
     running_requests: IntGauge,
+    limited_targets: IntGauge,
     connections_opened: IntGauge,
     requests_on_reused_connections: IntGauge,
 }
@@ -116,6 +117,7 @@
             live_hosts: register(&registry, int_gauge("live_hosts", "Live hosts known")?),
             open_jobs: register(&registry, int_gauge("open_jobs", "Batch jobs that are not closed")?),
             running_requests: register(&registry, int_gauge("running_requests", "Requests on targets")?),
+            limited_targets: register(&registry, int_gauge("limited_targets", "Targets with an announced rate limit")?),
             connections_opened: register(
                 &registry,
                 int_gauge("target_connections_opened", "Connections to targets opened so far")?,
@@ -144,6 +146,7 @@
         self.open_jobs.set(count_to_gauge(context.board.open_jobs().len()));
         let running: u32 = context.with_loads(|loads| loads.loads().iter().map(|load| load.running).sum());
         self.running_requests.set(i64::from(running));
+        self.limited_targets.set(count_to_gauge(context.with_loads(|loads| loads.limits.limited_targets())));
         self.connections_opened.set(i64::try_from(context.pool.opened()).unwrap_or(i64::MAX));
         self.requests_on_reused_connections.set(i64::try_from(context.pool.reused()).unwrap_or(i64::MAX));
         render_metrics(&self.registry)
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,4 +1,5 @@
-//! A host's view of its installation: configuration, targets, hosts, announced weight versions.
+//! A host's view of its installation: configuration, targets, hosts, announced weight versions; load and announced rate
+//! limits of targets.
 //!
 //! A [`fleet_state::RowDecoder`] of the installation's platform decodes rows of the store into
 //! [`fleet_state::FleetChange`]s. [`fleet_state`] merges them into an immutable [`fleet_view::FleetView`] that requests
@@ -8,4 +9,5 @@
 pub mod fleet_view;
 pub mod member_row;
 pub mod service_map;
+pub mod target_limit;
 pub mod target_load;
--- a/src/fleet/member_row.rs
+++ b/src/fleet/member_row.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::target_limit::LimitNotice;
 use crate::policy::shard_map::rendezvous_hash;
 use crate::prelude::*;
 
@@ -71,4 +72,7 @@
     pub is_stopping: bool,
     /// Requests of batch jobs that the host runs, sorted by target.
     pub running: Vec<RunningCount>,
+    /// Rate limits of targets that the host knows, without those that an earlier host publishes; sorted by target.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitNotice>,
 }
--- a/src/fleet/target_load.rs
+++ b/src/fleet/target_load.rs
@@ -6,6 +6,7 @@
 //! Cold targets get requests at a limited rate, which all hosts share.
 
 use crate::fleet::fleet_view::{FleetView, TargetEntry};
+use crate::fleet::target_limit::LimitTable;
 use crate::policy::shard_map::rendezvous_hash;
 use crate::prelude::*;
 
@@ -74,10 +75,13 @@
     computed_at: BootTime,
 }
 
-/// Loads of the targets that this host has used, sorted by target id, and the cached medians of their paces.
+/// Loads of the targets that this host has used, sorted by target id, their announced rate limits, and the cached medians
+/// of their paces.
 #[derive(Debug, Default)]
 pub struct LoadTable {
     loads: Vec<TargetLoad>,
+    /// Rate limits that targets announce.
+    pub limits: LimitTable,
     median_paces: Vec<MedianPace>,
 }
 
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -39,5 +39,8 @@
 /// Id of a batch job, chosen by its caller.
 pub type JobId = String;
 
+/// Rate in requests per 1,000 seconds.
+pub type MilliRate = u64;
+
 /// Id of an item of a batch job, chosen by its caller.
 pub type ItemId = String;
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -48,6 +48,7 @@
             is_misdirected: head.status == 421,
             version: value("version").and_then(|version| version.parse().ok()),
             idle_limit: None,
+            rate_limit: value("rate-limit").and_then(|rate| rate.parse().ok()),
         }
     },
     version_line: |line| line.strip_prefix("version: ").and_then(|version| version.parse().ok()),
