Divide the rate limits that targets announce among the hosts, and keep to them

Cause: no decision knew a rate that several hosts share; each host sent what its own load asked for.

Change: every host computes the same division of a limit from the rows of the live hosts, weighted by the batch work that they run or have waiting, and keeps to its share in each 4 s. A smaller share holds at once, a larger one after 6 s. Requests, second attempts, streams, items, gradings, weight orders and reads of an engine's state count. Limited targets come after others; a limit that no response confirmed for 5 s is tested again. A request without a share left anywhere is refused at once (503, code 1207).

--- a/src/duties/leader_tasks/weights.rs
+++ b/src/duties/leader_tasks/weights.rs
@@ -148,6 +148,7 @@
         let accepted_before = if let Some(accepted) = known {
             accepted
         } else {
+            self.context.with_loads(|loads| loads.record_arrival(&target.id, boot_time()));
             let report = (self.calls.read_report)(target.address).await?;
             if report.is_busy {
                 return None;
@@ -155,6 +156,8 @@
             report.accepted
         };
         let (fence, _guard) = self.begin_call()?;
+        // Not held back by a rate limit, but counted against it.
+        self.context.with_loads(|loads| loads.record_arrival(&target.id, boot_time()));
         let timeout = lock(&self.lease).call_timeout();
         let sent = (self.calls.send_order)(SentOrder {
             address: target.address,
--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -197,7 +197,7 @@
     tokio::join!(operators, targets, members, jobs, lease, renew_member(context, store));
 }
 
-/// Takes over the rate limits of targets that other hosts publish.
+/// Takes over the rate limits of targets that other hosts publish, and records the hosts that share them.
 fn adopt_limits(context: &HostContext, view: &FleetView) {
     let others = view.live_members().filter(|member| member.host != context.settings.host);
     let notices = others.flat_map(|member| member.row.limits.iter().map(move |notice| (&member.host, notice)));
@@ -207,7 +207,10 @@
         }
     }
     let store_time = (context.store.store_time)().unwrap_or_default();
-    context.with_loads(|loads| loads.limits.retain_known(view, store_time));
+    context.with_loads(|loads| {
+        loads.limits.retain_known(view, store_time);
+        loads.shares.record_hosts(view, &context.settings.host, boot_time());
+    });
 }
 
 /// Addresses of the live hosts that relay store calls for `own_host`. Hosts of `own_domain` come first; otherwise the
@@ -253,6 +256,7 @@
                 let busy = loads.loads().iter().filter(|load| load.job_running > 0);
                 busy.map(|load| RunningCount { target: load.target.clone(), count: load.job_running }).collect()
             }),
+            waiting: context.with_loads(|loads| loads.shares.waiting_counts()),
             limits: limits_to_publish(&context),
         };
         let write = RowContent {
--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -12,6 +12,7 @@
 use crate::fleet::target_limit::LimitNotice;
 use crate::fleet::target_load::LoadTable;
 use crate::jobs::job_cache::JobCache;
+use crate::policy::limit_share::ShareClock;
 use crate::prelude::*;
 use crate::relay::caller_codec::CallerCodec;
 use crate::relay::connection_pool::ConnectionPool;
@@ -80,6 +81,17 @@
 }
 
 impl HostContext {
+    /// What the share of rate limits depends on, now.
+    #[must_use]
+    pub fn share_clock(&self, view: &FleetView) -> ShareClock<'_> {
+        ShareClock {
+            host: &self.settings.host,
+            now: boot_time(),
+            store_time: (self.store.store_time)().unwrap_or_default(),
+            hosts_read_at: view.members_read_at,
+        }
+    }
+
     /// Records the rate limit that a response of a target announces. A response to a request that was run ends an earlier
     /// limit if it announces none; a refusal says nothing about that, and a misdirected request reached another target.
     pub fn record_limit(&self, target: &str, head: &TargetHead) {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,5 +9,6 @@
 pub mod fleet_view;
 pub mod member_row;
 pub mod service_map;
+pub mod share_table;
 pub mod target_limit;
 pub mod target_load;
--- a/src/fleet/member_row.rs
+++ b/src/fleet/member_row.rs
@@ -36,6 +36,15 @@
     pub count: u32,
 }
 
+/// Number of batch job requests of a host that wait to be started on a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingCount {
+    /// Service that runs the requests.
+    pub service: ServiceId,
+    /// Waiting requests.
+    pub count: u32,
+}
+
 /// Events of item outputs that one core processes per second. On a day with 86 hosts, 219,000 events took 28 s of
 /// processor time, all other work included: 7,800 events per second.
 const EVENTS_PER_CORE_SECOND: f64 = 8_000.0;
@@ -72,6 +81,9 @@
     pub is_stopping: bool,
     /// Requests of batch jobs that the host runs, sorted by target.
     pub running: Vec<RunningCount>,
+    /// Requests of batch jobs that wait to be started, sorted by service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waiting: Vec<WaitingCount>,
     /// Rate limits of targets that the host knows, without those that an earlier host publishes; sorted by target.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitNotice>,
--- a/src/fleet/target_limit.rs
+++ b/src/fleet/target_limit.rs
@@ -15,6 +15,10 @@
 /// Time for which the end of a limit is remembered and published; a notice takes about two seconds to reach all hosts.
 const ENDED_NOTICE_RETENTION: Duration = Duration::from_secs(20);
 
+/// Age from which on a limit may have ended unnoticed, because no request was sent. The target is then chosen like the
+/// others again, within its limit, so that a response shows whether the limit still holds.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(5);
+
 /// What a host knows of the rate limit of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitNotice {
@@ -41,6 +45,16 @@
         self.notices[position].rate
     }
 
+    /// Whether a response has announced the limit of a target lately.
+    #[must_use]
+    pub fn is_confirmed(&self, target: &str, store_time: Duration) -> bool {
+        self.find(target).is_ok_and(|position| {
+            let notice = &self.notices[position];
+            let age_ms = whole_millis(store_time).saturating_sub(notice.at_ms);
+            notice.rate.is_some() && age_ms < whole_millis(MAX_CONFIRMATION_AGE)
+        })
+    }
+
     /// Number of targets with a known limit.
     #[must_use]
     pub fn limited_targets(&self) -> usize {
--- a/src/fleet/target_load.rs
+++ b/src/fleet/target_load.rs
@@ -3,10 +3,14 @@
 //! Several hosts send work to the same targets without coordination. Each host counts its own requests immediately, and
 //! those of other hosts from their rows, about a second late. Targets therefore rarely get more requests than they have
 //! slots. A target that breaks connections, or is several times slower than its peers, gets no new work for a while.
-//! Cold targets get requests at a limited rate, which all hosts share.
+//! Cold targets get requests at a limited rate, which all hosts share, and so do targets that announce a rate limit.
+
+use std::collections::VecDeque;
 
 use crate::fleet::fleet_view::{FleetView, TargetEntry};
+use crate::fleet::share_table::ShareTable;
 use crate::fleet::target_limit::LimitTable;
+use crate::policy::limit_share::{LIMIT_WINDOW, ShareClock};
 use crate::policy::shard_map::rendezvous_hash;
 use crate::prelude::*;
 
@@ -47,8 +51,23 @@
     pub seen_versions: Vec<(String, WeightVersion)>,
     /// Start times of the requests that were started while the target was cold, within the last second.
     cold_starts: Vec<BootTime>,
+    /// Start times of all requests within the last [`LIMIT_WINDOW`], in order.
+    recent_starts: VecDeque<BootTime>,
+    /// Share of the announced rate limit, as last computed.
+    limit_share: Option<CachedShare>,
+}
+
+/// Share of a rate limit that was computed a short time ago.
+#[derive(Debug, Clone, Copy)]
+struct CachedShare {
+    rate: MilliRate,
+    share: u64,
+    computed_at: BootTime,
 }
 
+/// Time for which the share of a limit is cached.
+const MAX_SHARE_AGE: Duration = Duration::from_millis(250);
+
 impl TargetLoad {
     fn new(target: &str) -> Self {
         Self {
@@ -60,6 +79,8 @@
             pace: None,
             seen_versions: Vec::new(),
             cold_starts: Vec::new(),
+            recent_starts: VecDeque::new(),
+            limit_share: None,
         }
     }
 }
@@ -82,6 +103,8 @@
     loads: Vec<TargetLoad>,
     /// Rate limits that targets announce.
     pub limits: LimitTable,
+    /// Hosts that share these limits.
+    pub shares: ShareTable,
     median_paces: Vec<MedianPace>,
 }
 
@@ -145,6 +168,33 @@
         if is_cold {
             load.cold_starts.push(now);
         }
+        self.record_arrival(target, now);
+    }
+
+    /// Records a request to a target that counts against its rate limit, whether or not it takes a slot.
+    pub fn record_arrival(&mut self, target: &str, now: BootTime) {
+        let starts = &mut self.entry(target).recent_starts;
+        while starts.front().is_some_and(|start| now.saturating_sub(*start) >= LIMIT_WINDOW) {
+            starts.pop_front();
+        }
+        starts.push_back(now);
+    }
+
+    /// Requests that this host may start on a target now without exceeding its share of the rate limit that the target
+    /// announces; `None` when no limit is known.
+    pub fn limit_allowance(&mut self, target: &TargetEntry, clock: &ShareClock<'_>) -> Option<u32> {
+        let rate = self.limits.rate(&target.id)?;
+        let cached = self.get(&target.id).and_then(|load| load.limit_share);
+        let cached =
+            cached.filter(|cached| cached.rate == rate && clock.now.saturating_sub(cached.computed_at) < MAX_SHARE_AGE);
+        let share = cached.map_or_else(|| self.shares.share(rate, target, clock), |cached| cached.share);
+        let load = self.entry(&target.id);
+        if cached.is_none() {
+            load.limit_share = Some(CachedShare { rate, share, computed_at: clock.now });
+        }
+        let starts = load.recent_starts.iter().rev();
+        let started = starts.take_while(|start| clock.now.saturating_sub(**start) < LIMIT_WINDOW).count();
+        Some(u32::try_from(share.saturating_sub(started as u64)).unwrap_or(u32::MAX))
     }
 
     /// Records the end of a request, however it ended.
--- a/src/jobs/grading_queue.rs
+++ b/src/jobs/grading_queue.rs
@@ -115,6 +115,11 @@
         self.pending.iter().any(|pending| pending.due.is_some())
     }
 
+    /// Items that wait for their next attempt, due or not.
+    pub fn waiting_items(&self) -> impl Iterator<Item = usize> {
+        self.pending.iter().filter(|pending| pending.due.is_some()).map(|pending| pending.item)
+    }
+
     /// Items whose next attempt may start now. Items of the group that lacks the fewest come first; `open_group_items`
     /// has the number of open items in the group of each item of the job.
     #[must_use]
@@ -140,7 +145,7 @@
         for item in due_items {
             let Some(pending) = self.pending.iter_mut().find(|pending| pending.item == *item) else { continue };
             let Some(position) = pick_candidate(&mut candidates, &Preference::default(), loads, context) else { break };
-            candidates[position].count_start(loads, context.now);
+            candidates[position].count_start(loads, context.clock.now);
             pending.due = None;
             let timeout = attempt_timeout(objective, limit, pending.lost);
             starts.push(GradingStart { item: *item, target: candidates[position].target.clone(), timeout });
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -277,10 +277,9 @@
             view: &view,
             service: &self.target.service,
             cold_rate: 0.0,
-            host: &self.context.settings.host,
             domain: &self.context.settings.failure_domain,
             hosts: &hosts,
-            now: boot_time(),
+            clock: self.context.share_clock(&view),
         };
         let header = &self.header;
         let allows_version =
--- a/src/jobs/item_scheduler.rs
+++ b/src/jobs/item_scheduler.rs
@@ -10,6 +10,8 @@
 //! - Short items run in waves, a part of them at a time, as far as they need new connections. A later wave reuses the
 //!   connections of the one before. A short item that finds an idle connection to an engine with a free slot starts at
 //!   once.
+//! - An engine that announces a rate limit gets items only when the others have no room, and no more than this host's share
+//!   of the limit.
 //! - Among engines with about the same load, one with an idle connection is preferred, since a new connection costs
 //!   the engine a handshake.
 
@@ -18,6 +20,7 @@
 use crate::fleet::fleet_view::{FleetView, TargetEntry};
 use crate::fleet::target_load::{LoadTable, cold_start_quota};
 use crate::jobs::job_record::JobSpec;
+use crate::policy::limit_share::ShareClock;
 use crate::prelude::*;
 
 /// Delay before an item that a target refused may start again.
@@ -151,16 +154,14 @@
     /// Requests per second that all hosts together may start on a cold target, which is one before its `cold_until`;
     /// 0 without a limit.
     pub cold_rate: f64,
-    /// Id of this host.
-    pub host: &'a str,
     /// Failure domain of this host; its targets are preferred at equal load.
     pub domain: &'a str,
     /// Ids of the live hosts, which share the cold start quota.
     pub hosts: &'a [&'a str],
     /// Idle connections of this host to targets.
     pub idle_connections: &'a IdleConnections,
-    /// Reading of the boot clock that due times, pauses and `cold_until` are compared with.
-    pub now: BootTime,
+    /// Time that due times, pauses and `cold_until` are compared with, and what shares of rate limits depend on.
+    pub clock: ShareClock<'a>,
 }
 
 /// Chooses the next items of one job to start and tracks the state of each item.
@@ -221,10 +222,11 @@
         &self.items[item].state
     }
 
-    /// Whether any item waits to be started, due or not.
+    /// Number of items that wait to be started, due or not.
     #[must_use]
-    pub fn has_waiting_items(&self) -> bool {
-        self.items.iter().any(|item| matches!(item.state, ItemState::Waiting(_)))
+    pub fn waiting_items(&self) -> u32 {
+        let waiting = self.items.iter().filter(|item| matches!(item.state, ItemState::Waiting(_)));
+        u32::try_from(waiting.count()).unwrap_or(u32::MAX)
     }
 
     /// Counts the groups without unlisted items, with the items at these positions taken as listed.
@@ -272,12 +274,12 @@
         let mut candidates = list_candidates(loads, context, 0);
         candidates.retain(|candidate| loads.allows_version(candidate.target, &self.model, self.least_version));
         let mut starts = Vec::new();
-        while let Some((item, must_reuse)) = self.find_next_item(context.now) {
+        while let Some((item, must_reuse)) = self.find_next_item(context.clock.now) {
             let group = self.items[item].group;
             let preference = Preference { target: self.groups[group].prompt_target.as_deref(), must_reuse };
             let Some(position) = pick_candidate(&mut candidates, &preference, loads, context) else { break };
             let candidate = &mut candidates[position];
-            candidate.count_start(loads, context.now);
+            candidate.count_start(loads, context.clock.now);
             let target = candidate.target;
             self.groups[group].prompt_target = Some(target.id.clone());
             self.items[item].state = ItemState::Running(target.id.clone());
@@ -347,7 +349,7 @@
     loads: &mut LoadTable,
     context: &PlacementContext<'_>,
 ) -> bool {
-    let Some(median) = loads.median_pace(context.view, context.service, context.now) else { return false };
+    let Some(median) = loads.median_pace(context.view, context.service, context.clock.now) else { return false };
     let max_pace = median * SLOW_FACTOR;
     if pace <= max_pace {
         return false;
@@ -355,12 +357,13 @@
     let published = sum_published_runs(context);
     context.view.usable_targets(context.service).any(|other| {
         let load = loads.get(&other.id);
-        let is_paused = load.is_some_and(|load| load.paused_until > context.now);
+        let is_paused = load.is_some_and(|load| load.paused_until > context.clock.now);
         let is_slow = load.and_then(|load| load.pace).is_some_and(|pace| pace > max_pace);
         other.id != target
             && !is_paused
             && !is_slow
-            && other.cold_until <= context.now
+            && other.cold_until <= context.clock.now
+            && loads.limits.rate(&other.id).is_none()
             && allows_version(other, loads)
             && count_own_runs(other, loads) + count_published_runs(&published, other) < other.slots
     })
@@ -378,6 +381,10 @@
     /// Idle connections of this host to the target, less one for each run placed on it in this call.
     idle_connections: usize,
     is_cold: bool,
+    /// Requests that may still be started under the announced rate limit; `None` without a limit.
+    allowance: Option<u32>,
+    /// Whether the target announced its rate limit lately.
+    is_limited: bool,
     is_other_domain: bool,
 }
 
@@ -386,37 +393,45 @@
     pub fn count_start(&mut self, loads: &mut LoadTable, now: BootTime) {
         self.used_slots += 1;
         self.idle_connections = self.idle_connections.saturating_sub(1);
+        self.allowance = self.allowance.map(|allowance| allowance.saturating_sub(1));
         loads.start(&self.target.id, true, self.is_cold, now);
     }
 
-    /// Sort key for placement, lowest first: warm targets, then low load, then the own failure domain. A target without
-    /// an idle connection counts as one request busier.
+    /// Sort key for placement, lowest first: warm targets without a rate limit, then low load, then the own failure
+    /// domain. A target without an idle connection counts as one request busier.
     fn cost(&self) -> (bool, u32, bool) {
-        (self.is_cold, self.used_slots + u32::from(self.idle_connections == 0), self.is_other_domain)
+        let is_weak = self.is_cold || self.is_limited;
+        (is_weak, self.used_slots + u32::from(self.idle_connections == 0), self.is_other_domain)
     }
 }
 
-/// Lists the targets of the service that are not paused and have more than `reserved_slots` free slots, sorted by id.
+/// Lists the targets of the service that are not paused, have more than `reserved_slots` free slots and take more requests
+/// under their rate limits, sorted by id.
 #[must_use]
 pub fn list_candidates<'a>(
-    loads: &LoadTable,
+    loads: &mut LoadTable,
     context: &PlacementContext<'a>,
     reserved_slots: u32,
 ) -> Vec<Candidate<'a>> {
     let published = sum_published_runs(context);
-    let targets = context
-        .view
-        .usable_targets(context.service)
-        .filter(|target| loads.get(&target.id).is_none_or(|load| load.paused_until <= context.now));
-    let candidates = targets.map(|target| Candidate {
+    let is_paused = |loads: &LoadTable, target: &TargetEntry| {
+        loads.get(&target.id).is_some_and(|load| load.paused_until > context.clock.now)
+    };
+    let targets: Vec<&TargetEntry> =
+        context.view.usable_targets(context.service).filter(|target| !is_paused(loads, target)).collect();
+    let candidates = targets.into_iter().map(|target| Candidate {
         max_slots: target.slots.saturating_sub(reserved_slots).max(1),
         used_slots: count_own_runs(target, loads) + count_published_runs(&published, target),
         idle_connections: context.idle_connections.count(target.address),
-        is_cold: target.cold_until > context.now,
+        is_cold: target.cold_until > context.clock.now,
+        allowance: loads.limit_allowance(target, &context.clock),
+        is_limited: loads.limits.is_confirmed(&target.id, context.clock.store_time),
         is_other_domain: target.domain != context.domain,
         target,
     });
-    candidates.filter(|candidate| candidate.used_slots < candidate.max_slots).collect()
+    candidates
+        .filter(|candidate| candidate.used_slots < candidate.max_slots && candidate.allowance != Some(0))
+        .collect()
 }
 
 /// What the next request asks of its target.
@@ -438,14 +453,16 @@
 ) -> Option<usize> {
     loop {
         let has_room = |candidate: &Candidate<'_>| {
-            candidate.used_slots < candidate.max_slots && (!preference.must_reuse || candidate.idle_connections > 0)
+            candidate.used_slots < candidate.max_slots
+                && candidate.allowance != Some(0)
+                && (!preference.must_reuse || candidate.idle_connections > 0)
         };
         let positions = candidates.iter().enumerate().filter(|(_, candidate)| has_room(candidate));
         let (best, candidate) = positions.min_by_key(|(_, candidate)| candidate.cost())?;
         if candidate.is_cold {
             let target = &candidate.target.id;
-            let quota = cold_start_quota(context.cold_rate, target, context.host, context.hosts);
-            if !loads.has_cold_capacity(target, quota, context.now) {
+            let quota = cold_start_quota(context.cold_rate, target, context.clock.host, context.hosts);
+            if !loads.has_cold_capacity(target, quota, context.clock.now) {
                 candidates.remove(best);
                 continue;
             }
@@ -455,7 +472,7 @@
             let position = candidates.binary_search_by(|candidate| candidate.target.id.as_str().cmp(id)).ok()?;
             let preferred = &candidates[position];
             let is_load_close = preferred.cost().1 <= least_load + MAX_AFFINITY_EXCESS;
-            (has_room(preferred) && !preferred.is_cold && is_load_close).then_some(position)
+            (has_room(preferred) && !preferred.cost().0 && is_load_close).then_some(position)
         });
         return Some(preferred.unwrap_or(best));
     }
@@ -467,7 +484,7 @@
 
 /// Sums the running requests in the member rows of other hosts, with one entry per target, sorted by target.
 fn sum_published_runs<'a>(context: &PlacementContext<'a>) -> Vec<(&'a str, u32)> {
-    let others = context.view.live_members().filter(|member| member.host != context.host);
+    let others = context.view.live_members().filter(|member| member.host != context.clock.host);
     let mut runs: Vec<(&str, u32)> =
         others.flat_map(|member| &member.row.running).map(|run| (run.target.as_str(), run.count)).collect();
     runs.sort_unstable();
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -8,6 +8,9 @@
 
 use crate::entry::host_context::{HostContext, RunningRequest};
 use crate::fleet::fleet_view::FleetView;
+use crate::fleet::member_row::WaitingCount;
+use crate::fleet::service_map::RouteRule;
+use crate::fleet::share_table::add_waiting;
 use crate::jobs::grading_queue::{GradingDecision, GradingOutcome, GradingQueue};
 use crate::jobs::grading_run::GradingRun;
 use crate::jobs::item_run::{ItemProgress, ItemRun};
@@ -67,10 +70,9 @@
         view,
         service,
         cold_rate: rule.map_or(0.0, |rule| rule.cold_rate),
-        host: &context.settings.host,
         domain: &context.settings.failure_domain,
         hosts,
-        now: boot_time(),
+        clock: context.share_clock(view),
     }
 }
 
@@ -99,6 +101,8 @@
     next_append_at: BootTime,
     saver: ProgressSaver,
     next_save_at: BootTime,
+    /// Waiting requests as last recorded, sorted by service.
+    backlog: Vec<WaitingCount>,
     counts: RunCounts,
 }
 
@@ -137,6 +141,7 @@
     let outcome = match prepare_runner(&context, header, version).await {
         Ok(mut runner) => {
             let outcome = runner.run().await;
+            context.with_loads(|loads| loads.shares.set_backlog(&job, Vec::new()));
             let (counts, header) = (runner.counts, &runner.header);
             context.metrics.job_seconds.observe(runner.age().as_secs_f64());
             log::info!(
@@ -185,6 +190,7 @@
         runs: JoinSet::new(),
         gradings: GradingQueue::new(),
         grading_runs: JoinSet::new(),
+        backlog: Vec::new(),
         counts: RunCounts::default(),
         is_single_version: route.is_some_and(|route| route.is_single_version),
         next_append_at: BootTime::ZERO,
@@ -213,6 +219,7 @@
             self.abandon_items_when_due();
             self.start_runs();
             self.start_gradings();
+            self.record_backlog();
             if let Some(outcome) = self.append_results_when_due().await {
                 return outcome;
             }
@@ -328,7 +335,7 @@
     }
 
     fn start_runs(&mut self) {
-        if !self.scheduler.has_waiting_items() {
+        if self.scheduler.waiting_items() == 0 {
             return;
         }
         let view = self.context.view();
@@ -346,7 +353,7 @@
             self.counts.starts += 1;
             if start.is_first {
                 self.counts.started_items += 1;
-                self.counts.all_started_at = placement_context.now;
+                self.counts.all_started_at = placement_context.clock.now;
             }
             let run = ItemRun {
                 running_request: RunningRequest::counted(&self.context, &start.target.id, true),
@@ -402,8 +409,29 @@
         }
     }
 
+    /// Records the items and gradings that wait for a target, for the shares of announced rate limits.
+    fn record_backlog(&mut self) {
+        let mut waiting = Vec::new();
+        if let Some(services) = self.context.view().services.clone() {
+            let mut add_requests = |route: Option<&RouteRule>, count: u32| {
+                if let Some(weighted) = route.and_then(|route| route.services.first()).filter(|_| count > 0) {
+                    add_waiting(&mut waiting, &weighted.service, count);
+                }
+            };
+            add_requests(services.route_named(&self.header.route), self.scheduler.waiting_items());
+            for item in self.gradings.waiting_items() {
+                let grading = self.spec.items[item].grading.as_ref();
+                add_requests(grading.and_then(|grading| services.route(&grading.host, &grading.path)), 1);
+            }
+        }
+        if waiting != self.backlog {
+            self.backlog.clone_from(&waiting);
+            self.context.with_loads(|loads| loads.shares.set_backlog(&self.header.job, waiting));
+        }
+    }
+
     async fn wait_for_event(&mut self) {
-        let is_waiting = self.scheduler.has_waiting_items() || self.gradings.has_waiting();
+        let is_waiting = self.scheduler.waiting_items() > 0 || self.gradings.has_waiting();
         let poll_interval = if is_waiting { WAITING_POLL_INTERVAL } else { RUNNING_POLL_INTERVAL };
         let poll_interval =
             if self.unlisted_results.is_empty() { poll_interval } else { poll_interval.min(MIN_APPEND_INTERVAL) };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,7 @@
 pub mod domain_health;
 pub mod fair_queue;
 pub mod length_estimate;
+pub mod limit_share;
 pub mod prefix_index;
 pub mod prompt_prefix;
 pub mod retry_budget;
--- /dev/null
+++ b/src/policy/limit_share.rs
@@ -0,0 +1,128 @@
+//! Division of a target's announced rate limit among the hosts that send to the target.
+//!
+//! Failure handled: a target in need names the rate that it takes from all hosts together, and each host on its own cannot
+//! tell what the others send. Every host therefore computes the same division from the same list of hosts, and keeps to
+//! its own share, so that no host has to ask another before it sends. The shares of a limit sum up to the limit.
+//!
+//! - A host that runs many batch job requests of the service gets a larger share, since a few hosts own most jobs.
+//! - What cannot be divided evenly goes to some hosts, which take turns, so that each host can use a low limit sometimes.
+//! - The hosts learn of a change at different times. A smaller share takes effect at once, a larger one after
+//!   [`SHARE_SETTLE_TIME`], when all hosts have learned of the change and what they started before no longer counts.
+//! - A host that is cut off from the others counts all hosts that it last knew, each with the same share.
+
+use crate::policy::shard_map::rendezvous_hash;
+use crate::prelude::*;
+
+/// Window in which the requests that were started on a limited target are counted.
+pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Time in which a change of the hosts reaches all of them: a renewal of a row each second, and the feed.
+const NOTICE_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which a larger share must have been due before it is used.
+pub const SHARE_SETTLE_TIME: Duration = LIMIT_WINDOW.saturating_add(NOTICE_TIME);
+
+/// Time after which the shares that cannot be divided evenly go to the next hosts.
+const TURN_TIME: Duration = Duration::from_secs(20);
+
+/// Age of the known hosts from which on they may be outdated, because this host is cut off from the store.
+const MAX_HOSTS_AGE: Duration = Duration::from_secs(3);
+
+/// Weight of a host in the division of the limits of one service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostWeight {
+    /// Name of the host.
+    pub host: HostId,
+    /// Weight, at least 1.
+    pub weight: u32,
+}
+
+/// Number of the turn at a time of the store's clock, which all hosts share.
+fn turn_at(store_time: Duration) -> u64 {
+    store_time.as_secs() / TURN_TIME.as_secs()
+}
+
+/// Requests that `own_host` may start on a target within [`LIMIT_WINDOW`] when it takes `rate` from all `hosts` together,
+/// which must be sorted and include `own_host`. At least one request in a window is allowed over all hosts.
+#[must_use]
+pub fn limit_share(rate: MilliRate, target: &str, own_host: &str, hosts: &[HostWeight], turn: u64) -> u64 {
+    let total = (rate.saturating_mul(LIMIT_WINDOW.as_secs()) / 1000).max(1);
+    let weight_sum: u64 = hosts.iter().map(|host| u64::from(host.weight)).sum::<u64>().max(1);
+    let base = |host: &HostWeight| total.saturating_mul(host.weight.into()) / weight_sum;
+    let Some(own) = hosts.iter().find(|host| host.host == own_host) else { return 0 };
+    let rest = total.saturating_sub(hosts.iter().map(base).sum());
+    let own_rank = rendezvous_hash(target, own_host);
+    let position = hosts.iter().filter(|host| rendezvous_hash(target, &host.host) > own_rank).count() as u64;
+    let count = hosts.len() as u64;
+    let first = turn.wrapping_mul(rest) % count;
+    let has_rest = (position + count - first) % count < rest;
+    base(own) + u64::from(has_rest)
+}
+
+/// Hosts and their weights from a point in time on.
+#[derive(Debug, Clone)]
+struct TimedHosts {
+    since: BootTime,
+    hosts: Vec<HostWeight>,
+}
+
+/// Hosts that share the limits of one service, over the last [`SHARE_SETTLE_TIME`].
+#[derive(Debug, Clone, Default)]
+pub struct HostHistory {
+    /// In the order of time.
+    observations: Vec<TimedHosts>,
+}
+
+impl HostHistory {
+    /// Records the hosts as known at `now`, sorted by name.
+    pub fn record(&mut self, hosts: Vec<HostWeight>, now: BootTime) {
+        if self.observations.last().is_none_or(|last| last.hosts != hosts) {
+            self.observations.push(TimedHosts { since: now, hosts });
+        }
+        let outdated = self.count_outdated(now);
+        self.observations.drain(..outdated);
+    }
+
+    /// Number of observations that a later one replaced at least [`SHARE_SETTLE_TIME`] ago.
+    fn count_outdated(&self, now: BootTime) -> usize {
+        let is_outdated = |pair: &[TimedHosts]| now.saturating_sub(pair[1].since) >= SHARE_SETTLE_TIME;
+        self.observations.windows(2).take_while(|pair| is_outdated(pair)).count()
+    }
+
+    /// Requests that `clock.host` may start on a target within [`LIMIT_WINDOW`]: the smallest share of the last
+    /// [`SHARE_SETTLE_TIME`]. 0 until hosts were recorded.
+    #[must_use]
+    pub fn share(&self, rate: MilliRate, target: &str, clock: &ShareClock<'_>) -> u64 {
+        let turns = [turn_at(clock.store_time), turn_at(clock.store_time.saturating_sub(SHARE_SETTLE_TIME))];
+        let is_cut_off = clock.now.saturating_sub(clock.hosts_read_at) > MAX_HOSTS_AGE;
+        let recent = &self.observations[self.count_outdated(clock.now)..];
+        let shares = recent.iter().flat_map(|observation| {
+            turns.map(|turn| {
+                let share = limit_share(rate, target, clock.host, &observation.hosts, turn);
+                if is_cut_off {
+                    share.min(limit_share(rate, target, clock.host, &equal(&observation.hosts), turn))
+                } else {
+                    share
+                }
+            })
+        });
+        shares.min().unwrap_or_default()
+    }
+}
+
+fn equal(hosts: &[HostWeight]) -> Vec<HostWeight> {
+    hosts.iter().map(|host| HostWeight { host: host.host.clone(), weight: 1 }).collect()
+}
+
+/// Times at which a share is computed, and the host that it is for.
+#[derive(Debug, Clone, Copy)]
+pub struct ShareClock<'a> {
+    /// Host whose share is computed.
+    pub host: &'a str,
+    /// Reading of the boot clock.
+    pub now: BootTime,
+    /// Reading of the store's clock, which all hosts share.
+    pub store_time: Duration,
+    /// Boot time at which the store last answered a read of the hosts.
+    pub hosts_read_at: BootTime,
+}
--- a/src/relay/attempt_plan.rs
+++ b/src/relay/attempt_plan.rs
@@ -2,10 +2,13 @@
 //!
 //! The rules suit short requests at a low rate, where single targets become slow, unreachable or full. The target with
 //! the lowest expected cost is chosen; a paused one, such as a target that failed recently, only when no other is left.
+//! A target that announces a rate limit is in need and therefore comes after the others, and gets no more than this host's
+//! share of the limit.
 //! A repeatable request without a response in time is also sent to another target, and the first response is used.
 
 use crate::fleet::fleet_view::TargetEntry;
 use crate::fleet::target_load::{LoadTable, cold_start_quota};
+use crate::policy::limit_share::ShareClock;
 use crate::prelude::*;
 
 /// Expected seconds per request on a target without a measured pace.
@@ -20,46 +23,48 @@
 pub struct ChoiceContext<'a> {
     /// Failure domain of this host; targets in other domains cost more.
     pub domain: &'a str,
-    /// Name of this host.
-    pub host: &'a str,
     /// Hosts that share the cold start quota, this host included.
     pub hosts: &'a [&'a str],
     /// Requests per second that all hosts together may start on a target that is still cold, see
     /// [`TargetEntry::cold_until`]; 0 when unlimited.
     pub cold_rate: f64,
-    /// Time at which pauses, cold targets and quotas are judged.
-    pub now: BootTime,
+    /// Time at which pauses, cold targets and quotas are judged, and what shares of rate limits depend on.
+    pub clock: ShareClock<'a>,
 }
 
 /// Chooses the candidate with the lowest expected cost that is not among the targets `attempted` before.
 ///
-/// Cold targets whose quota is used up are left out. Returns `None` when no candidate remains.
+/// Targets whose cold start quota or share of the rate limit is used up are left out. Returns `None` when no candidate remains.
 pub fn choose_target<'a>(
     candidates: impl Iterator<Item = &'a TargetEntry>,
     attempted: &[TargetId],
     loads: &mut LoadTable,
     context: &ChoiceContext<'_>,
 ) -> Option<&'a TargetEntry> {
-    let mut best: Option<(bool, f64, &TargetEntry)> = None;
+    let mut best: Option<((bool, bool), f64, &TargetEntry)> = None;
     for target in candidates.filter(|target| !attempted.contains(&target.id)) {
-        if target.cold_until > context.now {
-            let quota = cold_start_quota(context.cold_rate, &target.id, context.host, context.hosts);
-            if !loads.has_cold_capacity(&target.id, quota, context.now) {
+        if target.cold_until > context.clock.now {
+            let quota = cold_start_quota(context.cold_rate, &target.id, context.clock.host, context.hosts);
+            if !loads.has_cold_capacity(&target.id, quota, context.clock.now) {
                 continue;
             }
         }
+        let allowance = loads.limit_allowance(target, &context.clock);
+        if allowance == Some(0) {
+            continue;
+        }
         let load = loads.get(&target.id);
-        let is_paused = load.is_some_and(|load| load.paused_until > context.now);
+        let is_paused = load.is_some_and(|load| load.paused_until > context.clock.now);
         let running = load.map_or(0, |load| load.running);
         let pace = load.and_then(|load| load.pace).unwrap_or(DEFAULT_PACE_SECONDS);
         let queue_factor = 1.0 + f64::from(running) / f64::from(target.slots.max(1));
         let remote_cost = if target.domain == context.domain { 0.0 } else { REMOTE_COST_SECONDS };
         let cost = pace * queue_factor + remote_cost;
-        let is_better = best.is_none_or(|(other_paused, other_cost, _)| {
-            (is_paused, cost) < (other_paused, other_cost) || (is_paused == other_paused && cost < other_cost)
-        });
+        let rank = (is_paused, loads.limits.is_confirmed(&target.id, context.clock.store_time));
+        let is_better = best
+            .is_none_or(|(other_rank, other_cost, _)| rank < other_rank || (rank == other_rank && cost < other_cost));
         if is_better {
-            best = Some((is_paused, cost, target));
+            best = Some((rank, cost, target));
         }
     }
     best.map(|(_, _, target)| target)
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -151,7 +151,7 @@
             trace.may_have_run = true;
         }
         if running_attempts.is_empty() {
-            return error_response.map_or_else(|| Err(final_code(trace)), Ok);
+            return error_response.map_or_else(|| Err(final_code(trace, is_limited(context, service))), Ok);
         }
         let outcome = match hedge_after {
             Some(delay) => tokio::time::timeout(delay, running_attempts.next()).await.ok(),
@@ -160,7 +160,7 @@
         match outcome {
             // The response is overdue or lost; the loop starts another attempt if the route allows one.
             None | Some(Some(AttemptOutcome::Lost)) => {}
-            Some(None) => return Err(final_code(trace)),
+            Some(None) => return Err(final_code(trace, false)),
             Some(Some(AttemptOutcome::Answered(response))) => return Ok(response),
             Some(Some(AttemptOutcome::TargetFailed(response))) => error_response = Some(response),
             Some(Some(AttemptOutcome::NotRun)) => {
@@ -172,11 +172,19 @@
     }
 }
 
-fn final_code(trace: &RelayTrace) -> ResultCode {
+/// Whether a target of the service announces a rate limit.
+fn is_limited(context: &HostContext, service: &str) -> bool {
+    let view = context.view();
+    context.with_loads(|loads| view.usable_targets(service).any(|target| loads.limits.rate(&target.id).is_some()))
+}
+
+fn final_code(trace: &RelayTrace, is_limited: bool) -> ResultCode {
     if trace.may_have_run {
         ResultCode::TargetFailed
     } else if trace.refusals > 0 {
         ResultCode::HostBusy
+    } else if is_limited {
+        ResultCode::RateLimited
     } else {
         ResultCode::NoTarget
     }
@@ -215,10 +223,9 @@
         relay.view.services.as_ref().and_then(|services| services.service(service).map(|rule| rule.cold_rate));
     let choice_context = ChoiceContext {
         domain: &context.settings.failure_domain,
-        host: &context.settings.host,
         hosts: &hosts,
         cold_rate: cold_rate.unwrap_or_default(),
-        now,
+        clock: context.share_clock(&view),
     };
     let target = context.with_loads(|loads| {
         let target = choose_target(view.usable_targets(service), attempted, loads, &choice_context).cloned()?;
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -65,6 +65,8 @@
     QueueTimeout,
     /// A service that the requested service depends on is unavailable.
     DependencyDown,
+    /// The targets announce rate limits, and the share of this host is used up.
+    RateLimited,
     /// The change expects another configuration version than the one in force, or a newer weight release exists.
     ConfigurationConflict,
     /// The services text has errors.
@@ -109,7 +111,7 @@
 }
 
 /// All result codes in ascending order of their numbers; [`ResultCode::from_number`] depends on the order.
-pub const ALL_CODES: [ResultCode; 37] = [
+pub const ALL_CODES: [ResultCode; 38] = [
     ResultCode::Done,
     ResultCode::BadRequest,
     ResultCode::TooLarge,
@@ -127,6 +129,7 @@
     ResultCode::Quarantined,
     ResultCode::QueueTimeout,
     ResultCode::DependencyDown,
+    ResultCode::RateLimited,
     ResultCode::ConfigurationConflict,
     ResultCode::TextInvalid,
     ResultCode::Unconfirmed,
@@ -201,6 +204,7 @@
             Self::Quarantined => new_entry(1204, "quarantined", 422, 15, NotRun, "this request crashed several targets and is refused"),
             Self::QueueTimeout => new_entry(1205, "queue_timeout", 503, 14, NotRun, "no target became free before the deadline"),
             Self::DependencyDown => new_entry(1206, "dependency_down", 503, 14, NotRun, "a service that this one depends on is unavailable"),
+            Self::RateLimited => new_entry(1207, "rate_limited", 503, 14, NotRun, "the targets take no more requests at present"),
             Self::ConfigurationConflict => new_entry(1301, "configuration_conflict", 409, 20, NotRun, "the configuration changed in between"),
             Self::TextInvalid => new_entry(1302, "text_invalid", 422, 21, NotRun, "the services text has errors"),
             Self::Unconfirmed => new_entry(1303, "unconfirmed", 202, 22, Ran, "in force, and not yet confirmed by all failure domains"),
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -2,6 +2,7 @@
 
 pub mod builders;
 mod feed_pace;
+mod limits;
 mod load;
 mod state;
 mod store_path;
--- a/tests/integration/fleet/builders.rs
+++ b/tests/integration/fleet/builders.rs
@@ -6,6 +6,7 @@
 use camphorspring::fleet::fleet_view::{FleetView, LoadedModel, MemberEntry, NamedVersion, TargetEntry, TargetState};
 use camphorspring::fleet::member_row::MemberRow;
 use camphorspring::fleet::service_map::{CallerLimits, RouteKind, RouteRule, ServiceMap};
+use camphorspring::policy::limit_share::ShareClock;
 
 /// Point in time at this many milliseconds after the boot.
 pub fn at(millis: u64) -> BootTime {
@@ -28,6 +29,11 @@
     }
 }
 
+/// Clock of this host at `now`, at which the hosts were read and the store's clock shows the same time.
+pub fn share_clock(host: &str, now: BootTime) -> ShareClock<'_> {
+    ShareClock { host, now, store_time: now, hosts_read_at: now }
+}
+
 /// Entry of a host whose row changed last at `changed_at`.
 pub fn member(host: &str, incarnation: u64, changed_at: BootTime) -> MemberEntry {
     let row = MemberRow { incarnation, domain: "north".to_owned(), beat: 1, ..MemberRow::default() };
--- a/tests/integration/jobs/gradings.rs
+++ b/tests/integration/jobs/gradings.rs
@@ -18,7 +18,7 @@
 
 use super::item_http::{context, serve_once};
 use super::plan::spec;
-use crate::fleet::builders::{at, engine, plain_route, service_map, view};
+use crate::fleet::builders::{at, engine, plain_route, service_map, share_clock, view};
 
 const OBJECTIVE: Duration = Duration::from_millis(400);
 
@@ -29,10 +29,9 @@
         view,
         service: "models",
         cold_rate: 0.0,
-        host: "h1",
         domain: "north",
         hosts: &["h1", "h2"],
-        now,
+        clock: share_clock("h1", now),
     };
     let due_items = queue.due_items(open, now);
     let starts = queue.start_attempts(&due_items, OBJECTIVE, None, loads, &context);
--- a/tests/integration/jobs/plan.rs
+++ b/tests/integration/jobs/plan.rs
@@ -9,7 +9,7 @@
 use camphorspring::jobs::job_record::{ItemSpec, JobSpec};
 use googletest::prelude::*;
 
-use crate::fleet::builders::{at, engine, view};
+use crate::fleet::builders::{at, engine, share_clock, view};
 
 /// Job of `groups` groups of `group_size` items each; expected lengths rise with the position.
 pub fn spec(groups: usize, group_size: usize) -> JobSpec {
@@ -48,10 +48,9 @@
         view,
         service: "models",
         cold_rate: 11.0,
-        host: "h1",
         domain: "north",
         hosts: &["h1", "h2"],
-        now,
+        clock: share_clock("h1", now),
     };
     scheduler.start_items(loads, &context).into_iter().map(|start| (start.item, start.target.id)).collect()
 }
--- a/tests/integration/jobs/slow_engines.rs
+++ b/tests/integration/jobs/slow_engines.rs
@@ -5,7 +5,7 @@
 use camphorspring::jobs::item_scheduler::{IdleConnections, PlacementContext, should_migrate};
 use googletest::prelude::*;
 
-use crate::fleet::builders::{at, engine, view};
+use crate::fleet::builders::{at, engine, share_clock, view};
 
 /// Load table of engines e0, e1 and so on with these paces, in milliseconds per event.
 fn loads(paces: &[u32]) -> LoadTable {
@@ -29,11 +29,10 @@
         view: &view,
         service: "models",
         cold_rate: 0.0,
-        host: "h1",
         domain: "north",
         hosts: &[],
         idle_connections: &idle_connections,
-        now,
+        clock: share_clock("h1", now),
     };
     should_migrate(f64::from(pace_ms) / 1000.0, target, &|_, _| true, &mut loads, &context)
 }
--- a/tests/integration/jobs/waves.rs
+++ b/tests/integration/jobs/waves.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 
 use super::plan::spec;
-use crate::fleet::builders::{at, engine, view};
+use crate::fleet::builders::{at, engine, share_clock, view};
 
 /// Time that an engine takes for one event, in milliseconds.
 const EVENT_MS: u64 = 48;
@@ -65,10 +65,9 @@
             view: &view,
             service: "models",
             cold_rate: 11.0,
-            host: "h1",
             domain: "north",
             hosts: &hosts,
-            now,
+            clock: share_clock("h1", now),
         };
         for start in scheduler.start_items(&mut loads, &context) {
             let elapsed = now.saturating_sub(at(10_000));
--- a/tests/integration/relay/attempts.rs
+++ b/tests/integration/relay/attempts.rs
@@ -4,13 +4,10 @@
 use camphorspring::relay::attempt_plan::{ChoiceContext, choose_target, hedge_delay};
 use googletest::prelude::*;
 
-use crate::fleet::builders::{at, engine};
+use crate::fleet::builders::{at, engine, share_clock};
 
-const CONTEXT: ChoiceContext<'static> =
-    ChoiceContext { domain: "north", host: "h1", hosts: &["h1"], cold_rate: 11.0, now: at_ten_seconds() };
-
-const fn at_ten_seconds() -> std::time::Duration {
-    std::time::Duration::from_secs(10)
+fn choice_context() -> ChoiceContext<'static> {
+    ChoiceContext { domain: "north", hosts: &["h1"], cold_rate: 11.0, clock: share_clock("h1", at(10_000)) }
 }
 
 /// Guards against requests that are still sent to a failing target while another target works.
@@ -20,7 +17,7 @@
     let mut loads = LoadTable::new();
     loads.record_failure("e1", at(9_900));
     let mut choose = |attempted: &[String]| {
-        choose_target(targets.iter(), attempted, &mut loads, &CONTEXT).map(|target| target.id.clone())
+        choose_target(targets.iter(), attempted, &mut loads, &choice_context()).map(|target| target.id.clone())
     };
     expect_that!(choose(&[]), some(eq("e2")));
     expect_that!(choose(&["e2".to_owned()]), some(eq("e1")));
@@ -36,7 +33,10 @@
     loads.record_success("e2", Some(0.025));
     let chosen: Vec<String> = (0..40)
         .map(|_| {
-            let id = choose_target(targets.iter(), &[], &mut loads, &CONTEXT).expect("a target is there").id.clone();
+            let id = choose_target(targets.iter(), &[], &mut loads, &choice_context())
+                .expect("a target is there")
+                .id
+                .clone();
             loads.start(&id, false, false, at(10_000));
             id
         })
@@ -50,7 +50,7 @@
     let mut remote = engine("e1", 1);
     remote.domain = "south".to_owned();
     let targets = [remote, engine("e2", 1)];
-    let chosen = choose_target(targets.iter(), &[], &mut LoadTable::new(), &CONTEXT);
+    let chosen = choose_target(targets.iter(), &[], &mut LoadTable::new(), &choice_context());
     expect_that!(chosen.map(|target| target.id.as_str()), some(eq("e2")));
 }
 
--- a/tests/soak/installation.rs
+++ b/tests/soak/installation.rs
@@ -57,7 +57,8 @@
 /// Target with its server and the relay that all hosts reach it through.
 #[derive(Debug)]
 pub struct SoakTarget {
-    service: &'static str,
+    /// Service that the target runs.
+    pub service: &'static str,
     /// Stand-in that runs the requests.
     pub standin: TargetStandin,
     /// Server of the stand-in, which injects faults of the target.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 
 mod fault_plan;
 mod installation;
+mod limits;
 mod load;
 mod outcome_log;
 mod peers;
