Continue outputs of items only at the software version that began them

Cause: entries of targets were decoded without the version of their software, every run resumed at any target, and saved outputs did not name it. Class: work that is continued without the facts under which it began.

Change: entries and outputs name the software, saves too. An item with a part of its output goes before others to a target of that version; when none has room for 2 s the output is dropped and the item starts anew. Log line item_output_dropped. The soak replaces targets by another version and checks that nothing is joined.

--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -33,6 +33,9 @@
     pub started_ms: Option<u64>,
     /// Service whose requests the target runs; a target runs one service only.
     pub service: ServiceId,
+    /// Version of the target's software. What two versions generate does not fit together, so that an output or a stream
+    /// goes on only at the version that began it. Targets do not check this.
+    pub software: SoftwareVersion,
     /// Address that requests are sent to.
     pub address: SocketAddr,
     /// Failure domain that the target is in.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -39,6 +39,9 @@
 /// Id of a batch job, chosen by its caller.
 pub type JobId = String;
 
+/// Version of the software of a target; versions are equal or different, and have no order.
+pub type SoftwareVersion = String;
+
 /// Rate in requests per 1,000 seconds.
 pub type MilliRate = u64;
 
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -40,6 +40,8 @@
     pub last_event: Option<u64>,
     /// Weight versions that generated the events, in order of their positions.
     pub version_spans: Vec<VersionSpan>,
+    /// Software of the target that generated the first event, and so all; `None` while the output is empty.
+    pub software: Option<SoftwareVersion>,
     /// Whether the target has sent the last event.
     pub is_complete: bool,
 }
@@ -92,6 +94,7 @@
         self.is_complete = false;
         self.version_spans.retain(|span| span.from < length);
         self.last_event = self.last_event.filter(|_| length > 0).map(|last| last.saturating_sub(dropped));
+        self.software = self.software.take().filter(|_| length > 0);
     }
 }
 
@@ -137,7 +140,7 @@
         if outcome != RunOutcome::Complete {
             log::info!(
                 job = self.header.job, item = self.item.id, target = target, domain = self.target.domain,
-                end:? = outcome, events = event_count, resumed_after:? = self.last_event(),
+                software = self.target.software, end:? = outcome, events = event_count, resumed_after:? = self.last_event(),
                 elapsed_ms = whole_millis(started.elapsed()),
                 targets_age_ms = whole_millis(now.saturating_sub(self.context.view().targets_read_at));
                 "item_run_ended"
@@ -245,7 +248,14 @@
                 if !self.accept_version(version) {
                     return (RunOutcome::Misdirected, event_count);
                 }
-                if !self.with_progress(|progress| progress.append_event(event, version)) {
+                let is_appended = self.with_progress(|progress| {
+                    let is_appended = progress.append_event(event, version);
+                    if is_appended && progress.software.is_none() {
+                        progress.software = Some(self.target.software.clone());
+                    }
+                    is_appended
+                });
+                if !is_appended {
                     return (RunOutcome::Broken, event_count);
                 }
                 event_count += 1;
@@ -282,8 +292,9 @@
             clock: self.context.share_clock(&view),
         };
         let header = &self.header;
-        let allows_version =
-            |target: &TargetEntry, loads: &LoadTable| loads.allows_version(target, &header.model, header.least_version);
+        let allows_version = |target: &TargetEntry, loads: &LoadTable| {
+            target.software == self.target.software && loads.allows_version(target, &header.model, header.least_version)
+        };
         self.context.with_loads(|loads| {
             loads.record_pace(&self.target.id, pace);
             !self.is_single_version && should_migrate(pace, &self.target.id, &allows_version, loads, &placement_context)
--- a/src/jobs/item_scheduler.rs
+++ b/src/jobs/item_scheduler.rs
@@ -12,6 +12,8 @@
 //!   once.
 //! - An engine that announces a rate limit gets items only when the others have no room, and no more than this host's share
 //!   of the limit.
+//! - An item with a part of its output comes before the others and goes on at the software version that began it, if an
+//!   engine of that version has room within [`SOFTWARE_WAIT`]. Otherwise its output is dropped and it starts anew.
 //! - Among engines with about the same load, one with an idle connection is preferred, since a new connection costs
 //!   the engine a handshake.
 
@@ -45,6 +47,9 @@
 /// to start.
 const WAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which an item waits for an engine of the software version that began its output.
+const SOFTWARE_WAIT: Duration = Duration::from_secs(2);
+
 /// How a run of an item ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunOutcome {
@@ -106,6 +111,8 @@
     failures: u32,
     stalls: u32,
     has_run: bool,
+    /// Software version that began the output; `None` while the output is empty.
+    software: Option<SoftwareVersion>,
 }
 
 #[derive(Debug, Default)]
@@ -125,6 +132,8 @@
     pub is_first: bool,
     /// Number of earlier runs of the item that stalled.
     pub stalls: u32,
+    /// Whether the output so far must be dropped before the run, since another software version began it.
+    pub drops_output: bool,
 }
 
 /// Target addresses of idle connections, one entry for each connection, sorted.
@@ -200,6 +209,7 @@
                 failures: 0,
                 stalls: 0,
                 has_run: false,
+                software: None,
             })
             .collect();
         let mut longest_first: Vec<usize> = (0..items.len()).collect();
@@ -256,6 +266,15 @@
         self.items[item].state = ItemState::Ungraded;
     }
 
+    /// Records which software version began the output of an item; a waiting item waits for it from now on.
+    pub fn set_software(&mut self, item: usize, software: Option<SoftwareVersion>, now: BootTime) {
+        let scheduled_item = &mut self.items[item];
+        scheduled_item.software = software;
+        if let ItemState::Waiting(due) = &mut scheduled_item.state {
+            *due = (*due).max(now);
+        }
+    }
+
     /// Counts for each group the items that are neither finished nor listed; returns the counts by item.
     #[must_use]
     pub fn open_group_items(&self) -> Vec<u32> {
@@ -274,31 +293,65 @@
         let mut candidates = list_candidates(loads, context, 0);
         candidates.retain(|candidate| loads.allows_version(candidate.target, &self.model, self.least_version));
         let mut starts = Vec::new();
-        while let Some((item, must_reuse)) = self.find_next_item(context.clock.now) {
+        let mut postponed = Vec::new();
+        while let Some((item, must_reuse)) = self.find_next_item(&postponed, context.clock.now) {
             let group = self.items[item].group;
-            let preference = Preference { target: self.groups[group].prompt_target.as_deref(), must_reuse };
-            let Some(position) = pick_candidate(&mut candidates, &preference, loads, context) else { break };
+            let software = self.required_software(item, loads, context);
+            let is_bound = software.is_some();
+            let preference = Preference { target: self.groups[group].prompt_target.as_deref(), must_reuse, software };
+            let Some(position) = pick_candidate(&mut candidates, &preference, loads, context) else {
+                if is_bound {
+                    postponed.push(item);
+                    continue;
+                }
+                break;
+            };
             let candidate = &mut candidates[position];
             candidate.count_start(loads, context.clock.now);
             let target = candidate.target;
             self.groups[group].prompt_target = Some(target.id.clone());
             self.items[item].state = ItemState::Running(target.id.clone());
             let is_first = !std::mem::replace(&mut self.items[item].has_run, true);
-            starts.push(RunStart { item, target: target.clone(), is_first, stalls: self.items[item].stalls });
+            let scheduled_item = &mut self.items[item];
+            let drops_output = scheduled_item.software.as_ref().is_some_and(|software| *software != target.software);
+            if drops_output {
+                scheduled_item.software = None;
+            }
+            let stalls = scheduled_item.stalls;
+            starts.push(RunStart { item, target: target.clone(), is_first, stalls, drops_output });
         }
         starts
     }
 
-    /// Finds the longest item that may start now, and whether it may only start on an idle connection, as a short item
+    /// Software version that a due item must run at; `None` when any will do, because the item has no output, or because
+    /// its output must be dropped.
+    fn required_software(
+        &self,
+        item: usize,
+        loads: &LoadTable,
+        context: &PlacementContext<'_>,
+    ) -> Option<&SoftwareVersion> {
+        let scheduled_item = &self.items[item];
+        let software = scheduled_item.software.as_ref()?;
+        let ItemState::Waiting(due) = scheduled_item.state else { return None };
+        let is_served = context.view.usable_targets(context.service).any(|target| {
+            target.software == *software && loads.allows_version(target, &self.model, self.least_version)
+        });
+        (is_served && context.clock.now.saturating_sub(due) < SOFTWARE_WAIT).then_some(software)
+    }
+
+    /// Finds the longest item that may start now and is not among the postponed ones, and whether it may only start on an idle connection, as a short item
     /// beyond the wave does.
-    fn find_next_item(&mut self, now: BootTime) -> Option<(usize, bool)> {
+    fn find_next_item(&mut self, postponed: &[usize], now: BootTime) -> Option<(usize, bool)> {
         let is_short_limited = now.saturating_sub(*self.started_at.get_or_insert(now)) < WAVE_TIMEOUT;
         let is_running_short = |item: &&ScheduledItem| item.is_short && matches!(item.state, ItemState::Running(_));
         let can_start_short =
             !is_short_limited || self.items.iter().filter(is_running_short).count() < self.max_running_short;
         let is_due = |item: &usize| matches!(self.items[*item].state, ItemState::Waiting(due) if due <= now);
-        let item = self.longest_first.iter().copied().find(is_due)?;
-        // Short items are the last in this order, so no long item is due when the first due one is short.
+        let mut due = self.longest_first.iter().copied().filter(|item| is_due(item) && !postponed.contains(item));
+        // Items with an output come first, since only some of the targets may be able to continue it. Otherwise short items
+        // are the last in this order, so no long item is due when the first due one is short.
+        let item = due.clone().find(|item| self.items[*item].software.is_some()).or_else(|| due.next())?;
         Some((item, self.items[item].is_short && !can_start_short))
     }
 
@@ -441,6 +494,8 @@
     pub target: Option<&'a str>,
     /// Whether the request may only start on an idle connection.
     pub must_reuse: bool,
+    /// Software version that the target must have; `None` when any will do.
+    pub software: Option<&'a SoftwareVersion>,
 }
 
 /// Picks the candidate that runs the next request and returns its position. Removes cold candidates whose cold start
@@ -455,6 +510,7 @@
         let has_room = |candidate: &Candidate<'_>| {
             candidate.used_slots < candidate.max_slots
                 && candidate.allowance != Some(0)
+                && preference.software.is_none_or(|software| candidate.target.software == *software)
                 && (!preference.must_reuse || candidate.idle_connections > 0)
         };
         let positions = candidates.iter().enumerate().filter(|(_, candidate)| has_room(candidate));
--- a/src/jobs/job_progress.rs
+++ b/src/jobs/job_progress.rs
@@ -44,6 +44,9 @@
     pub data: Vec<String>,
     /// Versions of the weights that generated the events.
     pub version_runs: Vec<VersionSpan>,
+    /// Software of the target that generated the output; `None` when an earlier program version saved it.
+    #[serde(default)]
+    pub software: Option<SoftwareVersion>,
     /// Whether the output ends with these events.
     #[serde(default)]
     pub is_last: bool,
@@ -83,10 +86,13 @@
         let saved = self.saved[item];
         let index = saved.events;
         let length = progress.data.len();
-        // A run on another weight version may have dropped the output that was saved.
+        // The output that was saved may have been dropped, for example by a run on another weight version.
         let is_shorter = length < index;
         let is_saved = length == index && progress.is_complete == saved.is_complete;
         let is_too_short = length < MIN_SAVED_EVENTS && !progress.is_complete;
+        if is_shorter {
+            self.forget_output(item);
+        }
         if is_shorter || is_saved || is_too_short {
             return None;
         }
@@ -97,6 +103,7 @@
             last_event: progress.last_event?,
             data: progress.data[index..].to_vec(),
             version_runs: spans_from(&progress.version_spans, index),
+            software: progress.software.clone(),
             is_last: progress.is_complete,
         })
     }
@@ -109,6 +116,11 @@
         }
     }
 
+    /// Counts the output of an item as not saved, because it was dropped; the next save replaces what is stored.
+    pub fn forget_output(&mut self, item: usize) {
+        self.saved[item] = SavedLength { events: 0, is_complete: false };
+    }
+
     /// Returns a key that sorts after all earlier ones of this saver and of earlier tenures.
     fn next_row_key(&mut self, job: &str) -> String {
         self.sequence += 1;
@@ -181,6 +193,7 @@
                 last_event: 0,
                 data: Vec::new(),
                 version_runs,
+                software: segment.software.clone(),
                 is_last: false,
             });
             bytes = 0;
@@ -201,21 +214,21 @@
     segments
 }
 
-/// Appends the segments that one tenure saved, in the order of the saves, to the output of their items. Segments that
-/// do not continue the output are ignored.
+/// Appends the segments that one tenure saved, in the order of the saves, to the output of their items. A segment that
+/// starts within the output replaces the rest of it: the tenure resumed the item there, began its output anew, or saved the
+/// events once more. Segments that do not continue the output, or are from other software, are ignored.
 pub fn apply_tenure(progress: &mut [ItemProgress], segments: &[ProgressSegment]) {
-    let mut has_segments = vec![false; progress.len()];
     for segment in segments {
         let Some(item_progress) = progress.get_mut(segment.item) else { continue };
-        let is_first_segment = !std::mem::replace(&mut has_segments[segment.item], true);
-        if is_first_segment && segment.index < item_progress.data.len() {
-            // The tenure resumed the item here. Events from this position on that an earlier tenure saved belong to
-            // another run.
+        if segment.index < item_progress.data.len() {
             item_progress.truncate(segment.index);
         }
-        if segment.index != item_progress.data.len() {
+        if segment.index != item_progress.data.len()
+            || (segment.index > 0 && segment.software != item_progress.software)
+        {
             continue;
         }
+        item_progress.software.clone_from(&segment.software);
         item_progress.data.extend_from_slice(&segment.data);
         item_progress.last_event = Some(segment.last_event);
         item_progress.is_complete = segment.is_last;
@@ -238,6 +251,10 @@
         let segments: Vec<ProgressSegment> = tenure.iter().flat_map(decode_segments).collect();
         apply_tenure(&mut progress, &segments);
     }
+    // An earlier program version saved no software version, so that nothing can continue the output.
+    for item_progress in progress.iter_mut().filter(|item| item.software.is_none() && !item.is_complete) {
+        *item_progress = ItemProgress::default();
+    }
     Ok(progress)
 }
 
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -85,6 +85,15 @@
     ended
 }
 
+/// Drops the output of an item, which no target of the software that began it can continue.
+fn drop_output(job: &str, item: &str, progress: &Mutex<ItemProgress>) {
+    let dropped = std::mem::take(&mut *progress.lock().unwrap_or_else(PoisonError::into_inner));
+    log::info!(
+        job = job, item = item, events = dropped.data.len(), software:? = dropped.software;
+        "item_output_dropped"
+    );
+}
+
 #[derive(Debug)]
 struct JobRunner {
     context: Arc<HostContext>,
@@ -115,6 +124,8 @@
     broken: u32,
     migrated: u32,
     failed: u32,
+    /// Runs that started an item anew, since no target of the software that began it had room.
+    restarted: u32,
     /// When an item was last started for the first time.
     all_started_at: BootTime,
     started_items: u32,
@@ -148,7 +159,7 @@
                 job = job, model = header.model, least_version = header.least_version, items = header.item_count,
                 listed = header.listed, unlisted = runner.unlisted_results.len(), starts = counts.starts,
                 started_items = counts.started_items, refused = counts.refused, misdirected = counts.misdirected,
-                broken = counts.broken, moved = counts.migrated, failed = counts.failed,
+                broken = counts.broken, moved = counts.migrated, failed = counts.failed, restarted = counts.restarted,
                 all_started_ms = whole_millis(counts.all_started_at.saturating_sub(started_at)),
                 age_ms = whole_millis(runner.age());
                 "job_runs"
@@ -200,12 +211,16 @@
     };
     let header = Arc::clone(&runner.header);
     runner.mark_listed(0, &header).await?;
+    let now = boot_time();
     for item in 0..runner.spec.items.len() {
         if *runner.scheduler.item_state(item) != ItemState::Listed
             && runner.with_progress(item, |item| item.is_complete)
         {
             runner.complete_output(item);
+            continue;
         }
+        let software = runner.with_progress(item, |progress| progress.software.clone());
+        runner.scheduler.set_software(item, software, now);
     }
     Ok(runner)
 }
@@ -350,6 +365,11 @@
         let first_pause = Duration::from_millis(self.context.settings.stream_pause_ms.into());
         let scheduler = &mut self.scheduler;
         for start in self.context.with_loads(|loads| scheduler.start_items(loads, &placement_context)) {
+            if start.drops_output {
+                drop_output(&self.header.job, &self.spec.items[start.item].id, &self.progress[start.item]);
+                self.saver.forget_output(start.item);
+                self.counts.restarted += 1;
+            }
             self.counts.starts += 1;
             if start.is_first {
                 self.counts.started_items += 1;
@@ -456,7 +476,9 @@
             return;
         }
         self.counts.record_outcome(outcome);
-        let is_abandoned = self.scheduler.record_run_end(item, outcome, boot_time());
+        let now = boot_time();
+        let is_abandoned = self.scheduler.record_run_end(item, outcome, now);
+        self.scheduler.set_software(item, self.with_progress(item, |progress| progress.software.clone()), now);
         if is_abandoned {
             self.abandon_item(item);
         } else if outcome == RunOutcome::Complete {
--- a/tests/integration/fleet/builders.rs
+++ b/tests/integration/fleet/builders.rs
@@ -19,6 +19,7 @@
         id: id.to_owned(),
         started_ms: Some(1),
         service: "models".to_owned(),
+        software: "s1".to_owned(),
         address: "127.0.0.1:9".parse().expect("the address is valid"),
         domain: "north".to_owned(),
         slots: 12,
--- a/tests/integration/jobs/plan.rs
+++ b/tests/integration/jobs/plan.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use camphorspring::clock::BootTime;
-use camphorspring::fleet::fleet_view::FleetView;
+use camphorspring::fleet::fleet_view::{FleetView, TargetEntry};
 use camphorspring::fleet::target_load::LoadTable;
 use camphorspring::jobs::item_scheduler::{IdleConnections, ItemScheduler, PlacementContext, RunOutcome};
 use camphorspring::jobs::job_record::{ItemSpec, JobSpec};
@@ -142,3 +142,64 @@
     let targets: Vec<&str> = starts.iter().map(|start| start.1.as_str()).collect();
     expect_that!(targets, eq(&vec!["e2", "e1", "e2", "e1"]));
 }
+
+/// Engine with two slots and this software version.
+fn engine_with_software(id: &str, software: &str) -> TargetEntry {
+    TargetEntry { software: software.to_owned(), slots: 2, ..engine(id, 1) }
+}
+
+/// Starts the four items of a job on engines with these software versions and two slots each. The first two items have an
+/// output that `s1` began, and wait since ten seconds after the boot. Returns item, target and whether its output is dropped.
+fn start_with_outputs(software: &[(&str, &str)], running: &[&str], now: BootTime) -> Vec<(usize, String, bool)> {
+    let view = view(software.iter().map(|(id, software)| engine_with_software(id, software)).collect(), &["h1"], now);
+    let mut scheduler = ItemScheduler::new(&spec(2, 2), 3);
+    for item in 0..2 {
+        scheduler.set_software(item, Some("s1".to_owned()), at(10_000));
+    }
+    let mut loads = LoadTable::new();
+    for target in running {
+        loads.start(target, true, false, now);
+    }
+    let context = PlacementContext {
+        idle_connections: &IdleConnections::default(),
+        view: &view,
+        service: "models",
+        cold_rate: 11.0,
+        domain: "north",
+        hosts: &["h1"],
+        clock: share_clock("h1", now),
+    };
+    let starts = scheduler.start_items(&mut loads, &context);
+    let mut starts: Vec<(usize, String, bool)> =
+        starts.into_iter().map(|start| (start.item, start.target.id, start.drops_output)).collect();
+    starts.sort();
+    starts
+}
+
+fn started(starts: &[(usize, &str, bool)]) -> Vec<(usize, String, bool)> {
+    starts.iter().map(|(item, target, is_dropped)| (*item, (*target).to_owned(), *is_dropped)).collect()
+}
+
+/// Guards against an output that is joined from two versions of the software, and against items that wait behind one that
+/// no target can continue at present.
+#[gtest]
+fn outputs_go_on_at_their_software_version() {
+    let engines = [("e1", "s1"), ("e2", "s2"), ("e3", "s2")];
+    let with_room = start_with_outputs(&engines, &[], at(10_000));
+    expect_that!(with_room[..2], eq(&started(&[(0, "e1", false), (1, "e1", false)])[..]));
+    let without_room = start_with_outputs(&engines, &["e1", "e1"], at(11_900));
+    expect_that!(without_room.iter().map(|start| start.0).collect::<Vec<usize>>(), eq(&vec![2, 3]));
+}
+
+/// Guards against items that never run again because the software version that began them has left or has no room.
+#[gtest]
+fn outputs_of_a_software_version_without_room_are_dropped() {
+    let left = start_with_outputs(&[("e2", "s2"), ("e3", "s2")], &[], at(10_000));
+    expect_that!(
+        left.iter().map(|start| (start.0, start.2)).collect::<Vec<_>>(),
+        eq(&vec![(0, true), (1, true), (2, false), (3, false)])
+    );
+    let engines = [("e1", "s1"), ("e2", "s2"), ("e3", "s2")];
+    let full = start_with_outputs(&engines, &["e1", "e1"], at(12_000));
+    expect_that!(full.iter().filter(|start| start.2).count(), eq(2));
+}
--- a/tests/integration/jobs/progress.rs
+++ b/tests/integration/jobs/progress.rs
@@ -12,6 +12,7 @@
     for id in 1..=events {
         let event = StreamEvent { id: Some(id), data: format!("token {id}"), version: None };
         assert!(progress.append_event(event, Some(version)));
+        progress.software = Some("s1".to_owned());
     }
     progress
 }
@@ -33,6 +34,7 @@
         last_event: (index + data.len()) as u64,
         data: data.iter().map(|text| (*text).to_owned()).collect(),
         version_runs: vec![VersionSpan { from: index, version }],
+        software: Some("s1".to_owned()),
         is_last: false,
     }
 }
@@ -118,11 +120,45 @@
     expect_that!((progress[0].is_complete, progress[0].data.len()), eq((false, 4)));
 }
 
+/// Guards against an output that joins two versions of the software: an owner dropped what it had saved and began anew at
+/// other software, or a segment of other software follows.
+#[gtest]
+fn saved_output_is_from_one_software_version() {
+    let other = |index, data| ProgressSegment { software: Some("s2".to_owned()), ..segment(index, data, 1) };
+    let mut progress = vec![ItemProgress::default()];
+    apply_tenure(&mut progress, &[segment(0, &["a1", "b1"], 1), other(2, &["c2"])]);
+    expect_that!(progress[0].data, eq(&vec!["a1", "b1"]));
+    apply_tenure(&mut progress, &[segment(2, &["c1"], 1), other(0, &["a2"]), other(1, &["b2"])]);
+    expect_that!(progress[0].data, eq(&vec!["a2", "b2"]));
+    expect_that!(progress[0].software.as_deref(), some(eq("s2")));
+}
+
+/// Guards against an output that a save joins to one that was dropped: the next save must start from the beginning.
+#[gtest]
+fn dropped_output_is_saved_anew() {
+    let mut saver = ProgressSaver::new(0, &[output(0, 1)]);
+    let mut next_index =
+        |events| saver.next_segment(0, &output(events, 1)).map(|segment| (segment.index, segment.data.len()));
+    expect_that!([30, 5, 40].map(&mut next_index), eq([Some((0, 30)), None, Some((0, 40))]));
+}
+
+/// Guards against an output that goes on anywhere after an update of the program: earlier program versions saved none of
+/// the software versions.
+#[gtest]
+fn saved_output_without_software_version_is_not_used() {
+    let store = memory_store();
+    let mut saver = ProgressSaver::new(0, &[output(0, 1)]);
+    let segments = [ProgressSegment { software: None, ..segment(0, &["a", "b"], 1) }];
+    wait_for(save_segments(&store, "j", &mut saver, &segments)).expect("the store answers");
+    let read = wait_for(read_progress(&store, "j", 1)).expect("the store answers");
+    expect_that!(read[0].data, is_empty());
+}
+
 /// Guards against a lost end of an output that is too long for one row.
 #[gtest]
 fn end_of_a_long_output_is_in_its_last_row() {
     let store = memory_store();
-    let mut long = ItemProgress { is_complete: true, ..ItemProgress::default() };
+    let mut long = ItemProgress { is_complete: true, software: Some("s1".to_owned()), ..ItemProgress::default() };
     for id in 1..=20 {
         let event = StreamEvent { id: Some(id), data: "x".repeat(9_000), version: None };
         assert!(long.append_event(event, Some(1)));
--- a/tests/integration/jobs/removal.rs
+++ b/tests/integration/jobs/removal.rs
@@ -52,6 +52,7 @@
     let write = wait_for(store_job(&store, &header(300), &spec)).expect("the store answers");
     let HeaderWrite::Written(version) = write else { panic!("the job is new") };
     let segment = ProgressSegment {
+        software: None,
         item: 0,
         index: 0,
         last_event: 1,
--- a/tests/soak/fault_plan.rs
+++ b/tests/soak/fault_plan.rs
@@ -180,7 +180,8 @@
             wait();
         }
         SoakFault::ReplaceTarget(target) => {
-            installation.targets[target].standin.restart();
+            let standin = &installation.targets[target].standin;
+            standin.release(if standin.software() == "1" { "2" } else { "1" });
             installation.targets[target].relay.order(RelayCommand::Reset);
         }
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,7 +5,7 @@
 //! The faults of a seed start at random times and overlap. Processes are killed, paused, stopped by SIGTERM and started
 //! again. Connections to the store are cut, delayed and reset; those to targets are cut and reset. The store refuses
 //! calls, loses responses, applies transactions late and discards its history. Targets lose responses, freeze and are
-//! replaced.
+//! replaced by another version of their software.
 
 mod fault_plan;
 mod installation;
@@ -14,6 +14,7 @@
 mod outcome_log;
 mod peers;
 mod reload;
+mod software;
 #[path = "../../platform/stand_ins/mod.rs"]
 mod stand_ins;
 mod stop;
--- a/tests/soak/outcome_log.rs
+++ b/tests/soak/outcome_log.rs
@@ -99,12 +99,15 @@
 
     /// Compares the runs on targets with the outcomes: each run was charged to the callers' organisation, a grading to none,
     /// and had no key; an at-most-once request ran at most once, and never when its status says that it did not run; no
-    /// grading started before the output of its item was complete.
+    /// grading started before the output of its item was complete; no output is joined from two software versions.
     pub fn check_runs(&self, installation: &SoakInstallation) {
         let mut runs = installation.run_log.runs();
         for grading in installation.run_log.early_gradings() {
             self.record_violation(format!("{grading} started before the output of its item was complete"));
         }
+        for joined in installation.run_log.joined_streams() {
+            self.record_violation(joined);
+        }
         for run in &runs {
             let organisation = if run.request_id.ends_with(GRADING_SUFFIX) { "" } else { "lab" };
             if run.has_key || run.organisation != organisation {
