Take streams up only at the software version that began them

Cause: a request with a last event was forwarded like any other. Nothing read which request had brought the first event, and only the host that had begun the stream could have known the version. Class: work that is continued without the facts under which it began.

Change: the host that begins a stream on a resumable route stores its service and software version before it passes events on, for 150 ms at most while the store is out of reach. A host at which the stream is taken up looks in its memory and in the store, sends the request to targets of that version only, and refuses it when none serves or no row is found (503, code 1208). Log line stream_taken_up, counter streams_taken_up_total.

--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -16,6 +16,7 @@
 use crate::prelude::*;
 use crate::relay::caller_codec::CallerCodec;
 use crate::relay::connection_pool::ConnectionPool;
+use crate::relay::stream_origins::StreamOrigins;
 use crate::relay::target_codec::{TargetCodec, TargetHead};
 use crate::row_store::RowStore;
 
@@ -39,6 +40,8 @@
     /// Counts the requests that targets began, by organisation and usage window. The counts of a past window are
     /// removed from here and written to the store.
     pub usage: UsageCounter,
+    /// Origins of the streams that began at this host.
+    pub stream_origins: StreamOrigins,
     /// Metrics, served at the metrics address if the settings have one.
     pub metrics: HostMetrics,
     /// Wire format between hosts and targets.
--- a/src/entry/host_metrics.rs
+++ b/src/entry/host_metrics.rs
@@ -29,6 +29,8 @@
     pub job_seconds: Histogram,
     /// Batch jobs that this host took over because they had no live owner, released jobs of stopping hosts included.
     pub takeovers: IntCounter,
+    /// Streams that callers took up, by what was known of their origin.
+    pub resumed_streams: IntCounterVec,
     configuration_version: IntGauge,
     configuration_age: Gauge,
     target_age: Gauge,
@@ -97,6 +99,13 @@
                 &registry,
                 IntCounter::with_opts(build_options("job_takeovers_total", "Batch jobs taken over"))?,
             ),
+            resumed_streams: register(
+                &registry,
+                IntCounterVec::new(
+                    build_options("streams_taken_up_total", "Streams that callers took up, by what was known of them"),
+                    &["origin"],
+                )?,
+            ),
             configuration_version: register(
                 &registry,
                 int_gauge("configuration_version", "Version of the configuration in force")?,
--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -5,19 +5,23 @@
 use hyper::{Method, Request, Response};
 
 use crate::entry::host_context::HostContext;
-use crate::fleet::service_map::{AdmissionError, RouteKind, ServiceMap};
+use crate::fleet::service_map::{AdmissionError, RouteKind, RouteRule, ServiceMap};
 use crate::jobs::job_calls::{JobAccess, Submission, end_job, read_item, read_job, submit_job};
 use crate::jobs::job_record::JobSpec;
 use crate::prelude::*;
 use crate::relay::caller_codec::{CallerAction, CallerHead};
 use crate::relay::connection_pool::read_body;
-use crate::relay::plain_relay::{RelayRequest, relay_request};
+use crate::relay::plain_relay::{RelayRequest, StreamStart, relay_request};
 use crate::relay::reply::{ResponseBody, code_reply};
+use crate::relay::stream_origins::find_origin;
 use crate::relay::target_codec::TargetRequest;
 
 /// Delay after which callers should retry at a host that knows no configuration yet.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Delay after which callers should try to take up a stream of unknown origin again, at another host.
+const STREAM_RETRY_DELAY: Duration = Duration::from_millis(150);
+
 /// Upper bound of the time that one read of a batch job waits for further results.
 const READ_WAIT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -145,6 +149,10 @@
         let caller_host = head.host.clone();
         return Ok(submit_job(context, Submission { job, route, caller_host, organisation, spec }).await);
     }
+    let stream = match find_stream_start(context, route, head).await {
+        Ok(stream) => stream,
+        Err(code) => return Ok(refuse_request(head, code, Some(STREAM_RETRY_DELAY))),
+    };
     let request = TargetRequest {
         method: parts.method,
         path: head.path_and_query.clone(),
@@ -154,6 +162,42 @@
         organisation,
         body,
     };
-    let admitted_request = RelayRequest { request, route, view: context.view(), arrived_at, patience: head.deadline };
+    let admitted_request =
+        RelayRequest { request, route, stream, view: context.view(), arrived_at, patience: head.deadline };
     Ok(relay_request(context, admitted_request).await)
 }
+
+/// Finds out where the events of a response begin.
+///
+/// # Errors
+///
+/// The caller takes a stream up, and it is not known at which software version the stream began.
+async fn find_stream_start(
+    context: &HostContext,
+    route: &RouteRule,
+    head: &CallerHead,
+) -> Result<StreamStart, ResultCode> {
+    if !route.is_resumable {
+        return Ok(StreamStart::NotResumable);
+    }
+    if head.resumes.is_none() && !head.has_last_event {
+        return Ok(StreamStart::Begin);
+    }
+    let found = match &head.resumes {
+        Some(first_request) => find_origin(context, first_request).await,
+        None => Ok(None),
+    };
+    let origin_label = match &found {
+        Ok(Some(_)) => "known",
+        Ok(None) => "unknown",
+        Err(_) => "store_failed",
+    };
+    context.metrics.resumed_streams.with_label_values(&[origin_label]).inc();
+    let origin = found.unwrap_or_default();
+    log::info!(
+        request = head.request_id, first_request:? = head.resumes, origin = origin_label,
+        software:? = origin.as_ref().map(|origin| &origin.software);
+        "stream_taken_up"
+    );
+    origin.map(StreamStart::Continue).ok_or(ResultCode::StreamNotResumable)
+}
--- a/src/fleet/service_map.rs
+++ b/src/fleet/service_map.rs
@@ -33,6 +33,8 @@
     pub path_prefix: String,
     /// How often a request may run.
     pub kind: RouteKind,
+    /// Whether responses are streams that a caller may take up after the last event that it received.
+    pub is_resumable: bool,
     /// Whether requests are admitted without a key.
     pub is_open: bool,
     /// Maximum time that a caller waits for a response; `None` when the time is unlimited.
--- a/src/jobs/item_scheduler.rs
+++ b/src/jobs/item_scheduler.rs
@@ -13,7 +13,7 @@
 //! - An engine that announces a rate limit gets items only when the others have no room, and no more than this host's share
 //!   of the limit.
 //! - An item with a part of its output comes before the others and goes on at the software version that began it, if an
-//!   engine of that version has room within [`SOFTWARE_WAIT`]. Otherwise its output is dropped and it starts anew.
+//!   engine of that version has room within two seconds. Otherwise its output is dropped and it starts anew.
 //! - Among engines with about the same load, one with an idle connection is preferred, since a new connection costs
 //!   the engine a handshake.
 
@@ -340,8 +340,8 @@
         (is_served && context.clock.now.saturating_sub(due) < SOFTWARE_WAIT).then_some(software)
     }
 
-    /// Finds the longest item that may start now and is not among the postponed ones, and whether it may only start on an idle connection, as a short item
-    /// beyond the wave does.
+    /// Finds the longest item that may start now and is not among the postponed ones, and whether it may only start on an
+    /// idle connection, as a short item beyond the wave does.
     fn find_next_item(&mut self, postponed: &[usize], now: BootTime) -> Option<(usize, bool)> {
         let is_short_limited = now.saturating_sub(*self.started_at.get_or_insert(now)) < WAVE_TIMEOUT;
         let is_running_short = |item: &&ScheduledItem| item.is_short && matches!(item.state, ItemState::Running(_));
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -10,4 +10,5 @@
 pub mod event_reader;
 pub mod plain_relay;
 pub mod reply;
+pub mod stream_origins;
 pub mod target_codec;
--- a/src/relay/caller_codec.rs
+++ b/src/relay/caller_codec.rs
@@ -51,6 +51,11 @@
     pub key: Option<String>,
     /// Time that a read of results may wait for new ones; `None` for a read that returns at once.
     pub wait: Option<Duration>,
+    /// Id of the earlier request that brought the first event of a stream that the caller takes up; `None` when the request
+    /// begins anew.
+    pub resumes: Option<RequestId>,
+    /// Whether the caller names a last event, after which it takes a stream up.
+    pub has_last_event: bool,
     /// What to do with the request.
     pub action: CallerAction,
 }
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -22,6 +22,7 @@
 use crate::relay::connection_pool::{Exchange, ExchangeError, PooledConnection};
 use crate::relay::event_reader::EventReader;
 use crate::relay::reply::{BodyError, ResponseBody, code_reply, whole_body};
+use crate::relay::stream_origins::StreamOrigin;
 use crate::relay::target_codec::{SendOptions, TargetHead, TargetRequest};
 
 /// Size up to which a response body is read whole before it is forwarded; a larger one is streamed.
@@ -39,6 +40,9 @@
 /// Time before the deadline that is reserved for sending an error response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
+/// Longest time that a stream waits until its origin is stored, before its first event is passed on.
+const MAX_ORIGIN_WAIT: Duration = Duration::from_millis(150);
+
 /// Shortest pause after which a forwarded response counts as stalled; callers leave a stream after such a pause.
 const MIN_STREAM_PAUSE: Duration = Duration::from_secs(2);
 
@@ -71,6 +75,17 @@
     last_target: TargetId,
 }
 
+/// Where the events of a response begin.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamStart {
+    /// The response is no stream that a caller may take up.
+    NotResumable,
+    /// A stream begins, and its origin is recorded.
+    Begin,
+    /// The caller takes up a stream that began there; no other software version may continue it.
+    Continue(StreamOrigin),
+}
+
 /// A request to forward, with the route, the view and the times that apply to it.
 #[derive(Debug)]
 pub struct RelayRequest<'a> {
@@ -81,6 +96,8 @@
     /// View when the request was ready to be forwarded; provides the cold rate of the service and the ages of the
     /// configuration and the targets for the log line. Targets are chosen by the current view instead.
     pub view: Arc<FleetView>,
+    /// Where the events of the response begin.
+    pub stream: StreamStart,
     /// Time at which the request arrived, from which the timeout counts.
     pub arrived_at: BootTime,
     /// Time that the caller waits for the response; `None` when the caller named none.
@@ -97,7 +114,8 @@
     let response = match result {
         Ok(Ok(response)) => response,
         Ok(Err(code)) => {
-            code_reply(code, Some(if code == ResultCode::NoTarget { NO_TARGET_RETRY_AFTER } else { BUSY_RETRY_AFTER }))
+            let needs_target = matches!(code, ResultCode::NoTarget | ResultCode::StreamNotResumable);
+            code_reply(code, Some(if needs_target { NO_TARGET_RETRY_AFTER } else { BUSY_RETRY_AFTER }))
         }
         Err(_) if trace.may_have_run => code_reply(ResultCode::TargetTimeout, None),
         Err(_) => code_reply(ResultCode::QueueTimeout, Some(BUSY_RETRY_AFTER)),
@@ -128,7 +146,12 @@
     trace: &mut RelayTrace,
 ) -> Result<Response<ResponseBody>, ResultCode> {
     let is_repeatable = relay.route.kind == RouteKind::Repeatable;
-    let service = pick_service(relay);
+    let service = pick_service(relay).ok_or(ResultCode::StreamNotResumable)?;
+    // All attempts for a stream go to targets of one version, so that its origin does not change.
+    let mut software = match &relay.stream {
+        StreamStart::Continue(origin) => Some(origin.software.clone()),
+        StreamStart::NotResumable | StreamStart::Begin => None,
+    };
     let mut attempted: Vec<TargetId> = Vec::new();
     let mut running_attempts = FuturesUnordered::new();
     let mut error_response = None;
@@ -138,11 +161,17 @@
             && (is_repeatable || !trace.may_have_run)
             && trace.refusals < MAX_REFUSALS;
         let mut hedge_after = None;
-        let next = if may_start { acquire_target(context, service, relay, &attempted) } else { None };
+        let next =
+            if may_start { acquire_target(context, service, relay, &attempted, software.as_ref()) } else { None };
         if let Some((target, running_request)) = next {
             attempted.push(target.id.clone());
             trace.attempts += 1;
             trace.last_target.clone_from(&target.id);
+            if relay.stream == StreamStart::Begin && software.is_none() {
+                software = Some(target.software.clone());
+                let origin = StreamOrigin { service: service.to_owned(), software: target.software.clone() };
+                context.stream_origins.record(&relay.request.request_id, origin, boot_time());
+            }
             if is_repeatable {
                 let pace = context.with_loads(|loads| loads.get(&target.id).and_then(|load| load.pace));
                 hedge_after = Some(hedge_delay(relay.route.objective, pace));
@@ -151,7 +180,8 @@
             trace.may_have_run = true;
         }
         if running_attempts.is_empty() {
-            return error_response.map_or_else(|| Err(final_code(trace, is_limited(context, service))), Ok);
+            return error_response
+                .map_or_else(|| Err(final_code(trace, unsent_code(context, service, software.as_ref()))), Ok);
         }
         let outcome = match hedge_after {
             Some(delay) => tokio::time::timeout(delay, running_attempts.next()).await.ok(),
@@ -160,7 +190,7 @@
         match outcome {
             // The response is overdue or lost; the loop starts another attempt if the route allows one.
             None | Some(Some(AttemptOutcome::Lost)) => {}
-            Some(None) => return Err(final_code(trace, false)),
+            Some(None) => return Err(final_code(trace, ResultCode::NoTarget)),
             Some(Some(AttemptOutcome::Answered(response))) => return Ok(response),
             Some(Some(AttemptOutcome::TargetFailed(response))) => error_response = Some(response),
             Some(Some(AttemptOutcome::NotRun)) => {
@@ -172,48 +202,64 @@
     }
 }
 
-/// Whether a target of the service announces a rate limit.
-fn is_limited(context: &HostContext, service: &str) -> bool {
+/// Why no target of the service could be chosen.
+fn unsent_code(context: &HostContext, service: &str, software: Option<&SoftwareVersion>) -> ResultCode {
     let view = context.view();
-    context.with_loads(|loads| view.usable_targets(service).any(|target| loads.limits.rate(&target.id).is_some()))
+    let mut fitting = view.usable_targets(service).filter(|target| has_software(target, software)).peekable();
+    if fitting.peek().is_none() && software.is_some() {
+        ResultCode::StreamNotResumable
+    } else if context.with_loads(|loads| fitting.any(|target| loads.limits.rate(&target.id).is_some())) {
+        ResultCode::RateLimited
+    } else {
+        ResultCode::NoTarget
+    }
+}
+
+fn has_software(target: &TargetEntry, software: Option<&SoftwareVersion>) -> bool {
+    software.is_none_or(|software| target.software == *software)
 }
 
-fn final_code(trace: &RelayTrace, is_limited: bool) -> ResultCode {
+/// Result code of a request without a response; `unsent_code` when no attempt was made.
+fn final_code(trace: &RelayTrace, unsent_code: ResultCode) -> ResultCode {
     if trace.may_have_run {
         ResultCode::TargetFailed
     } else if trace.refusals > 0 {
         ResultCode::HostBusy
-    } else if is_limited {
-        ResultCode::RateLimited
     } else {
-        ResultCode::NoTarget
+        unsent_code
     }
 }
 
 /// Service of the route that runs the request, chosen by weight; the choice depends on the request id only, so that a
-/// request that the caller repeats is run by the same service.
-fn pick_service<'a>(relay: &RelayRequest<'a>) -> &'a str {
+/// request that the caller repeats is run by the same service. A stream goes on at the service that began it; `None` when
+/// the route does not use that one any more.
+fn pick_service<'a>(relay: &RelayRequest<'a>) -> Option<&'a str> {
     let services = &relay.route.services;
+    if let StreamStart::Continue(origin) = &relay.stream {
+        let weighted = services.iter().find(|weighted| weighted.service == origin.service)?;
+        return Some(&weighted.service);
+    }
     let total: u64 = services.iter().map(|weighted| u64::from(weighted.weight)).sum();
     let mut remainder = rendezvous_hash(&relay.request.request_id, "service") % total.max(1);
     for weighted in services {
         let weight = u64::from(weighted.weight);
         if remainder < weight {
-            return &weighted.service;
+            return Some(&weighted.service);
         }
         remainder -= weight;
     }
-    services.first().map_or("", |weighted| weighted.service.as_str())
+    Some(services.first().map_or("", |weighted| weighted.service.as_str()))
 }
 
 /// Chooses the target of the next attempt and counts the request as running on it until the returned guard is dropped.
 ///
-/// Returns `None` when no target outside `attempted` can be used.
+/// Returns `None` when no target outside `attempted` can be used, or none of the software version that a stream needs.
 fn acquire_target(
     context: &Arc<HostContext>,
     service: &str,
     relay: &RelayRequest<'_>,
     attempted: &[TargetId],
+    software: Option<&SoftwareVersion>,
 ) -> Option<(TargetEntry, RunningRequest)> {
     // The current view, since a target may have started to shut down after the request was admitted.
     let view = context.view();
@@ -228,7 +274,8 @@
         clock: context.share_clock(&view),
     };
     let target = context.with_loads(|loads| {
-        let target = choose_target(view.usable_targets(service), attempted, loads, &choice_context).cloned()?;
+        let candidates = view.usable_targets(service).filter(|target| has_software(target, software));
+        let target = choose_target(candidates, attempted, loads, &choice_context).cloned()?;
         loads.start(&target.id, false, target.cold_until > now, now);
         Some(target)
     })?;
@@ -279,6 +326,11 @@
         return AttemptOutcome::Lost;
     }
     context.usage.record_start(relay.request.organisation.as_deref());
+    if relay.stream == StreamStart::Begin && head.status.is_success() {
+        // Without the store the stream begins all the same, and the row is written later.
+        let stored = context.stream_origins.wait_stored(&relay.request.request_id);
+        let _ = tokio::time::timeout(MAX_ORIGIN_WAIT, stored).await;
+    }
     let response = TargetResponse { head, body, target_head, connection, running_request };
     forward_response(context, relay, &target, response, started).await
 }
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -67,6 +67,8 @@
     DependencyDown,
     /// The targets announce rate limits, and the share of this host is used up.
     RateLimited,
+    /// No target of the software version that began a stream takes requests, or the version is not known.
+    StreamNotResumable,
     /// The change expects another configuration version than the one in force, or a newer weight release exists.
     ConfigurationConflict,
     /// The services text has errors.
@@ -111,7 +113,7 @@
 }
 
 /// All result codes in ascending order of their numbers; [`ResultCode::from_number`] depends on the order.
-pub const ALL_CODES: [ResultCode; 38] = [
+pub const ALL_CODES: [ResultCode; 39] = [
     ResultCode::Done,
     ResultCode::BadRequest,
     ResultCode::TooLarge,
@@ -130,6 +132,7 @@
     ResultCode::QueueTimeout,
     ResultCode::DependencyDown,
     ResultCode::RateLimited,
+    ResultCode::StreamNotResumable,
     ResultCode::ConfigurationConflict,
     ResultCode::TextInvalid,
     ResultCode::Unconfirmed,
@@ -205,6 +208,7 @@
             Self::QueueTimeout => new_entry(1205, "queue_timeout", 503, 14, NotRun, "no target became free before the deadline"),
             Self::DependencyDown => new_entry(1206, "dependency_down", 503, 14, NotRun, "a service that this one depends on is unavailable"),
             Self::RateLimited => new_entry(1207, "rate_limited", 503, 14, NotRun, "the targets take no more requests at present"),
+            Self::StreamNotResumable => new_entry(1208, "stream_not_resumable", 503, 14, NotRun, "no target can continue this stream"),
             Self::ConfigurationConflict => new_entry(1301, "configuration_conflict", 409, 20, NotRun, "the configuration changed in between"),
             Self::TextInvalid => new_entry(1302, "text_invalid", 422, 21, NotRun, "the services text has errors"),
             Self::Unconfirmed => new_entry(1303, "unconfirmed", 202, 22, Ran, "in force, and not yet confirmed by all failure domains"),
--- a/tests/integration/fleet/builders.rs
+++ b/tests/integration/fleet/builders.rs
@@ -69,6 +69,7 @@
         host: "c".to_owned(),
         path_prefix: "/plain/".to_owned(),
         kind: RouteKind::Repeatable,
+        is_resumable: false,
         is_open: true,
         timeout: None,
         objective: at(400),
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -20,6 +20,7 @@
 use camphorspring::relay::caller_codec::{CallerAction, CallerCodec, CallerHead};
 use camphorspring::relay::connection_pool::{ConnectionPool, SendBody};
 use camphorspring::relay::event_reader::StreamEvent;
+use camphorspring::relay::stream_origins::StreamOrigins;
 use camphorspring::relay::target_codec::{TargetCodec, TargetHead};
 use googletest::prelude::*;
 use hyper::Request;
@@ -63,6 +64,8 @@
         deadline: None,
         key: None,
         wait: None,
+        resumes: None,
+        has_last_event: false,
         action: CallerAction::Forward,
     },
     strip: Clone::clone,
@@ -88,6 +91,7 @@
         loads: Mutex::new(LoadTable::new()),
         board: JobCache::new(),
         usage: UsageCounter::new(at(5000)),
+        stream_origins: StreamOrigins::default(),
         metrics: HostMetrics::new().expect("the names are valid"),
         target_codec: TARGET_CODEC,
         caller_codec: CALLER_CODEC,
--- a/tests/integration/relay.rs
+++ b/tests/integration/relay.rs
@@ -3,3 +3,4 @@
 mod answers;
 mod attempts;
 mod events;
+mod streams;
--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -8,7 +8,7 @@
 use camphorspring::clock::boot_time;
 use camphorspring::entry::host_context::HostContext;
 use camphorspring::fleet::service_map::{RouteKind, RouteRule, WeightedService};
-use camphorspring::relay::plain_relay::{RelayRequest, relay_request};
+use camphorspring::relay::plain_relay::{RelayRequest, StreamStart, relay_request};
 use camphorspring::relay::reply::ResponseBody;
 use camphorspring::relay::target_codec::TargetRequest;
 use googletest::prelude::*;
@@ -70,7 +70,14 @@
         organisation: None,
         body: Bytes::new(),
     };
-    let relay = RelayRequest { request, route, view: context.view(), arrived_at: boot_time(), patience: None };
+    let relay = RelayRequest {
+        request,
+        route,
+        stream: StreamStart::NotResumable,
+        view: context.view(),
+        arrived_at: boot_time(),
+        patience: None,
+    };
     relay_request(context, relay).await
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,6 +18,7 @@
 #[path = "../../platform/stand_ins/mod.rs"]
 mod stand_ins;
 mod stop;
+mod streams;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
