Remember rate limits while the entry of their target is missing

Cause: a limit was dropped with the entry of its target, which may be missing for two seconds after a store outage, and notices of other hosts were ignored until the entry was read.

Change: notices are kept for 20 s without an entry, as the ends of limits were before.

--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -201,7 +201,7 @@
 fn adopt_limits(context: &HostContext, view: &FleetView) {
     let others = view.live_members().filter(|member| member.host != context.settings.host);
     let notices = others.flat_map(|member| member.row.limits.iter().map(move |notice| (&member.host, notice)));
-    for (host, notice) in notices.filter(|(_, notice)| view.target(&notice.target).is_some()) {
+    for (host, notice) in notices {
         if context.with_loads(|loads| loads.limits.merge(notice.clone())) {
             log::info!(target = notice.target, milli_rate:? = notice.rate, from = host; "target_limit_changed");
         }
--- a/src/fleet/target_limit.rs
+++ b/src/fleet/target_limit.rs
@@ -12,8 +12,9 @@
 use crate::fleet::fleet_view::FleetView;
 use crate::prelude::*;
 
-/// Time for which the end of a limit is remembered and published; a notice takes about two seconds to reach all hosts.
-const ENDED_NOTICE_RETENTION: Duration = Duration::from_secs(20);
+/// Time for which a notice is remembered and published after the limit has ended, or while the target has no entry. A notice
+/// takes about two seconds to reach all hosts, and an entry may be missing for as long after a store outage.
+const NOTICE_RETENTION: Duration = Duration::from_secs(20);
 
 /// Age from which on a limit may have ended unnoticed, because no request was sent. The target is then chosen like the
 /// others again, within its limit, so that a response shows whether the limit still holds.
@@ -82,12 +83,12 @@
         }
     }
 
-    /// Drops the notices of targets that are not in the view, and ends of limits that are old.
+    /// Drops old notices of targets that are not in the view, and ends of limits that are old.
     pub fn retain_known(&mut self, view: &FleetView, store_time: Duration) {
         let store_ms = whole_millis(store_time);
         self.notices.retain(|notice| {
-            let is_recent = store_ms.saturating_sub(notice.at_ms) < whole_millis(ENDED_NOTICE_RETENTION);
-            view.target(&notice.target).is_some() && (notice.rate.is_some() || is_recent)
+            let is_recent = store_ms.saturating_sub(notice.at_ms) < whole_millis(NOTICE_RETENTION);
+            is_recent || (notice.rate.is_some() && view.target(&notice.target).is_some())
         });
     }
 
--- a/tests/integration/fleet/limits.rs
+++ b/tests/integration/fleet/limits.rs
@@ -69,6 +69,19 @@
     expect_that!((changes, limits.rate("e1")), eq(([true, true, false], None)));
 }
 
+/// Guards against a limit that is forgotten because the entry of its target is missing for a moment, and against notices of
+/// targets that have left which are kept for good.
+#[gtest]
+fn limit_outlives_a_missing_entry() {
+    let mut limits = LoadTable::new().limits;
+    limits.merge(notice("e1", Some(2_000), 10_000));
+    let known = [11_000, 29_000, 31_000].map(|now| {
+        limits.retain_known(&view(Vec::new(), &["h1"], at(now)), at(now));
+        limits.rate("e1")
+    });
+    expect_that!(known, eq([Some(2_000), Some(2_000), None]));
+}
+
 /// Guards against a target that is left out for good because nobody sends it the request that would show that its limit
 /// has ended.
 #[gtest]
