Keep the rates of cold targets right after an outage of the store

Cause: the rate of a cold target is divided among the live hosts of this moment. When the store answers again, each host sees its own row renewed first, counts the others as gone and takes the whole rate. Same class as the rate limits: absent news is taken for a change.

Change: the quota is the smallest one over the hosts of the last six seconds, as shares of rate limits are, and half as large for a host whose own row is not renewed. Both divisions stand in policy::limit_share and use the same records of hosts.

--- a/src/fleet/share_table.rs
+++ b/src/fleet/share_table.rs
@@ -1,4 +1,5 @@
-//! Hosts that share the announced rate limits of the targets of each service, and the demand of each host.
+//! Hosts that share the announced rate limits of the targets of each service, and the demand of each host; hosts that share
+//! the rates of cold targets.
 //!
 //! A host publishes in its row the batch job requests that it runs, and those that wait to be started. Both count: a host
 //! whose jobs only wait, because its share is small, must be able to get a larger one.
@@ -40,6 +41,8 @@
     backlogs: Vec<JobBacklog>,
     demands: Vec<HostDemand>,
     service_hosts: Vec<ServiceHosts>,
+    /// All hosts, with equal weights.
+    all_hosts: HostHistory,
 }
 
 impl ShareTable {
@@ -71,6 +74,9 @@
         services.dedup();
         self.demands.retain(|demand| now.saturating_sub(demand.observed_at) < DEMAND_HOLD_TIME);
         self.service_hosts.retain(|hosts| services.binary_search(&&hosts.service).is_ok());
+        let is_listed = view.live_members().any(|member| member.host == own_host);
+        let equal_weights = view.live_members().map(|member| HostWeight { host: member.host.clone(), weight: 1 });
+        record_listed(&mut self.all_hosts, equal_weights.collect(), is_listed, own_host, now);
         for service in services {
             let mut hosts: Vec<HostWeight> = Vec::new();
             for member in view.live_members() {
@@ -78,19 +84,11 @@
                 // Weights are rounded, so that small changes of the demand do not change the shares.
                 hosts.push(HostWeight { host: member.host.clone(), weight: (1 + demand).next_power_of_two() });
             }
-            let is_listed = hosts.iter().any(|host| host.host == own_host);
-            if !is_listed {
-                hosts.push(HostWeight { host: own_host.to_owned(), weight: 1 });
-                hosts.sort_by(|one, other| one.host.cmp(&other.host));
-            }
             let position = self.service_hosts.iter().position(|known| known.service == *service).unwrap_or_else(|| {
                 self.service_hosts.push(ServiceHosts { service: service.clone(), history: HostHistory::default() });
                 self.service_hosts.len() - 1
             });
-            let history = &mut self.service_hosts[position].history;
-            if is_listed || history.is_empty() {
-                history.record(hosts, now);
-            }
+            record_listed(&mut self.service_hosts[position].history, hosts, is_listed, own_host, now);
         }
     }
 
@@ -120,6 +118,31 @@
         let hosts = self.service_hosts.iter().find(|hosts| hosts.service == target.service);
         hosts.map_or(0, |hosts| hosts.history.share(rate, &target.id, clock))
     }
+
+    /// Requests that `clock.host` may start within one second on a cold target that takes `rate` from all hosts together; 0
+    /// until the hosts are known, without a limit when `rate` is not positive.
+    #[must_use]
+    pub fn cold_quota(&self, rate: f64, target: &str, clock: &ShareClock<'_>) -> u32 {
+        self.all_hosts.cold_quota(rate, target, clock)
+    }
+}
+
+/// Records the live hosts, or keeps those recorded before while `own_host` is not among them. The first record adds it.
+fn record_listed(
+    history: &mut HostHistory,
+    mut hosts: Vec<HostWeight>,
+    is_listed: bool,
+    own_host: &str,
+    now: BootTime,
+) {
+    if !is_listed && !history.is_empty() {
+        return;
+    }
+    if !is_listed {
+        hosts.push(HostWeight { host: own_host.to_owned(), weight: 1 });
+        hosts.sort_by(|one, other| one.host.cmp(&other.host));
+    }
+    history.record(hosts, now);
 }
 
 /// Adds waiting requests to the count of their service; `counts` stays sorted by service.
--- a/src/fleet/target_load.rs
+++ b/src/fleet/target_load.rs
@@ -11,7 +11,6 @@
 use crate::fleet::share_table::ShareTable;
 use crate::fleet::target_limit::LimitTable;
 use crate::policy::limit_share::{LIMIT_WINDOW, ShareClock};
-use crate::policy::shard_map::rendezvous_hash;
 use crate::prelude::*;
 
 /// Backoff after the first failure; doubles with each further failure in a row.
@@ -267,31 +266,12 @@
         model.is_empty() || self.model_version(target, model).is_some_and(|version| version >= least)
     }
 
-    /// Whether this host may start one more request on a cold target now, given its quota per second.
-    pub fn has_cold_capacity(&mut self, target: &str, quota: u32, now: BootTime) -> bool {
+    /// Whether this host may start one more request now on a cold target, on which all hosts together may start `rate`
+    /// requests per second; without a limit when `rate` is not positive.
+    pub fn has_cold_capacity(&mut self, target: &str, rate: f64, clock: &ShareClock<'_>) -> bool {
+        let quota = self.shares.cold_quota(rate, target, clock);
         let load = self.entry(target);
-        load.cold_starts.retain(|start| now.saturating_sub(*start) < COLD_WINDOW);
+        load.cold_starts.retain(|start| clock.now.saturating_sub(*start) < COLD_WINDOW);
         load.cold_starts.len() < usize::try_from(quota).unwrap_or(usize::MAX)
     }
 }
-
-/// Requests that this host may start on a cold target within one second, so that all hosts together start at most
-/// `rate`, rounded down but at least 1. Unlimited when `rate` is not positive.
-///
-/// With more hosts than requests per second, only the hosts that rank highest for the target may start one.
-#[must_use]
-pub fn cold_start_quota(rate: f64, target: &str, own_host: &str, hosts: &[&str]) -> u32 {
-    if rate <= 0.0 {
-        return u32::MAX;
-    }
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the rate is positive and small")]
-    let rate = rate.floor().max(1.0).min(f64::from(u32::MAX)) as u32;
-    let count = u32::try_from(hosts.len().max(1)).unwrap_or(u32::MAX);
-    if rate >= count {
-        return rate / count;
-    }
-    let own_rank = rendezvous_hash(target, own_host);
-    let higher_ranked =
-        hosts.iter().filter(|host| **host != own_host && rendezvous_hash(target, host) > own_rank).count();
-    u32::from(u32::try_from(higher_ranked).unwrap_or(u32::MAX) < rate)
-}
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -279,8 +279,7 @@
     /// Records the pace of the target, in seconds per event; returns whether the run should migrate.
     fn check_pace(&self, pace: f64) -> bool {
         let view = self.context.view();
-        // Runs migrate to warm targets only, so the cold start quota and its hosts are not needed.
-        let hosts: Vec<&str> = Vec::new();
+        // Runs migrate to warm targets only, so the cold rate is not needed.
         let idle_connections = IdleConnections::default();
         let placement_context = PlacementContext {
             idle_connections: &idle_connections,
@@ -288,7 +287,6 @@
             service: &self.target.service,
             cold_rate: 0.0,
             domain: &self.context.settings.failure_domain,
-            hosts: &hosts,
             clock: self.context.share_clock(&view),
         };
         let header = &self.header;
--- a/src/jobs/item_scheduler.rs
+++ b/src/jobs/item_scheduler.rs
@@ -20,7 +20,7 @@
 use std::net::SocketAddr;
 
 use crate::fleet::fleet_view::{FleetView, TargetEntry};
-use crate::fleet::target_load::{LoadTable, cold_start_quota};
+use crate::fleet::target_load::LoadTable;
 use crate::jobs::job_record::JobSpec;
 use crate::policy::limit_share::ShareClock;
 use crate::prelude::*;
@@ -165,8 +165,6 @@
     pub cold_rate: f64,
     /// Failure domain of this host; its targets are preferred at equal load.
     pub domain: &'a str,
-    /// Ids of the live hosts, which share the cold start quota.
-    pub hosts: &'a [&'a str],
     /// Idle connections of this host to targets.
     pub idle_connections: &'a IdleConnections,
     /// Time that due times, pauses and `cold_until` are compared with, and what shares of rate limits depend on.
@@ -515,13 +513,9 @@
         };
         let positions = candidates.iter().enumerate().filter(|(_, candidate)| has_room(candidate));
         let (best, candidate) = positions.min_by_key(|(_, candidate)| candidate.cost())?;
-        if candidate.is_cold {
-            let target = &candidate.target.id;
-            let quota = cold_start_quota(context.cold_rate, target, context.clock.host, context.hosts);
-            if !loads.has_cold_capacity(target, quota, context.clock.now) {
-                candidates.remove(best);
-                continue;
-            }
+        if candidate.is_cold && !loads.has_cold_capacity(&candidate.target.id, context.cold_rate, &context.clock) {
+            candidates.remove(best);
+            continue;
         }
         let (_, least_load, _) = candidate.cost();
         let preferred = preference.target.and_then(|id| {
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -61,7 +61,6 @@
     context: &'a HostContext,
     view: &'a FleetView,
     service: &'a str,
-    hosts: &'a [&'a str],
     idle_connections: &'a IdleConnections,
 ) -> PlacementContext<'a> {
     let rule = view.services.as_ref().and_then(|services| services.service(service));
@@ -71,7 +70,6 @@
         service,
         cold_rate: rule.map_or(0.0, |rule| rule.cold_rate),
         domain: &context.settings.failure_domain,
-        hosts,
         clock: context.share_clock(view),
     }
 }
@@ -357,9 +355,8 @@
         let Some(services) = view.services.clone() else { return };
         let Some(route) = services.route_named(&self.header.route) else { return };
         let Some(service) = route.services.first().map(|weighted| weighted.service.as_str()) else { return };
-        let hosts: Vec<&str> = view.live_members().map(|member| member.host.as_str()).collect();
         let idle_connections = IdleConnections::new(self.context.pool.idle_addresses());
-        let placement_context = placement_context(&self.context, &view, service, &hosts, &idle_connections);
+        let placement_context = placement_context(&self.context, &view, service, &idle_connections);
         let limit = Duration::from_millis(self.header.limit_ms);
         let time_left = limit.saturating_sub(self.age()).max(Duration::from_millis(1));
         let first_pause = Duration::from_millis(self.context.settings.stream_pause_ms.into());
@@ -398,7 +395,6 @@
         }
         let view = self.context.view();
         let Some(services) = view.services.clone() else { return };
-        let hosts: Vec<&str> = view.live_members().map(|member| member.host.as_str()).collect();
         let idle_connections = IdleConnections::new(self.context.pool.idle_addresses());
         let spec = Arc::clone(&self.spec);
         let route_of = |item: &usize| {
@@ -409,7 +405,7 @@
         for items in due_items.chunk_by(|one, other| route_of(one) == route_of(other)) {
             let Some(route) = route_of(&items[0]) else { continue };
             let Some(service) = route.services.first().map(|weighted| weighted.service.as_str()) else { continue };
-            let placement_context = placement_context(&self.context, &view, service, &hosts, &idle_connections);
+            let placement_context = placement_context(&self.context, &view, service, &idle_connections);
             let gradings = &mut self.gradings;
             let starts = self.context.with_loads(|loads| {
                 gradings.start_attempts(items, route.objective, route.timeout, loads, &placement_context)
--- a/src/policy/limit_share.rs
+++ b/src/policy/limit_share.rs
@@ -1,7 +1,8 @@
-//! Division of a target's announced rate limit among the hosts that send to the target.
+//! Division of what a target takes from all hosts together: its announced rate limit, or its rate while it is cold.
 //!
 //! Failure handled: a target in need names the rate that it takes from all hosts together, and each host on its own cannot
-//! tell what the others send. Every host therefore computes the same division from the same list of hosts, and keeps to
+//! tell what the others send. Right after an outage of the store, each host sees its own row renewed before those of the
+//! others, which must not count as gone. Every host therefore computes the same division from the same list of hosts, and keeps to
 //! its own share, so that no host has to ask another before it sends. The shares of a limit sum up to the limit.
 //!
 //! - A host that runs many batch job requests of the service gets a larger share, since a few hosts own most jobs.
@@ -62,6 +63,27 @@
     base(own) + u64::from(has_rest)
 }
 
+/// Requests that `own_host` may start on a cold target within one second, so that all `hosts` together start at most `rate`,
+/// rounded down but at least 1. Unlimited when `rate` is not positive.
+///
+/// With more hosts than requests per second, only the hosts that rank highest for the target may start one.
+#[must_use]
+pub fn cold_start_quota(rate: f64, target: &str, own_host: &str, hosts: &[HostWeight]) -> u32 {
+    if rate <= 0.0 {
+        return u32::MAX;
+    }
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the rate is positive and small")]
+    let rate = rate.floor().max(1.0).min(f64::from(u32::MAX)) as u32;
+    let count = u32::try_from(hosts.len().max(1)).unwrap_or(u32::MAX);
+    if rate >= count {
+        return rate / count;
+    }
+    let own_rank = rendezvous_hash(target, own_host);
+    let is_before = |host: &&HostWeight| host.host != own_host && rendezvous_hash(target, &host.host) > own_rank;
+    let higher_ranked = hosts.iter().filter(is_before).count();
+    u32::from(u32::try_from(higher_ranked).unwrap_or(u32::MAX) < rate)
+}
+
 /// Hosts and their weights from a point in time on.
 #[derive(Debug, Clone)]
 struct TimedHosts {
@@ -98,17 +120,20 @@
         self.observations.windows(2).take_while(|pair| is_outdated(pair)).count()
     }
 
+    /// Observations of the last [`SHARE_SETTLE_TIME`], and the one in force at its start.
+    fn recent(&self, now: BootTime) -> &[TimedHosts] {
+        &self.observations[self.count_outdated(now)..]
+    }
+
     /// Requests that `clock.host` may start on a target within [`LIMIT_WINDOW`]: the smallest share of the last
     /// [`SHARE_SETTLE_TIME`]. 0 until hosts were recorded.
     #[must_use]
     pub fn share(&self, rate: MilliRate, target: &str, clock: &ShareClock<'_>) -> u64 {
         let turns = [turn_at(clock.store_time), turn_at(clock.store_time.saturating_sub(SHARE_SETTLE_TIME))];
-        let is_cut_off = clock.now.saturating_sub(clock.renewed_at) > MAX_RENEWAL_AGE;
-        let recent = &self.observations[self.count_outdated(clock.now)..];
-        let shares = recent.iter().flat_map(|observation| {
+        let shares = self.recent(clock.now).iter().flat_map(|observation| {
             turns.map(|turn| {
                 let share = limit_share(rate, target, clock.host, &observation.hosts, turn);
-                if is_cut_off {
+                if clock.is_cut_off() {
                     share.min(limit_share(rate / 2, target, clock.host, &equal(&observation.hosts), turn))
                 } else {
                     share
@@ -117,6 +142,16 @@
         });
         shares.min().unwrap_or_default()
     }
+
+    /// Requests that `clock.host` may start within one second on a cold target that takes `rate` from all hosts: the smallest
+    /// [`cold_start_quota`] of the last [`SHARE_SETTLE_TIME`]. 0 until hosts were recorded, unless `rate` is unlimited.
+    #[must_use]
+    pub fn cold_quota(&self, rate: f64, target: &str, clock: &ShareClock<'_>) -> u32 {
+        let rate = if clock.is_cut_off() { rate / 2.0 } else { rate };
+        let quotas = self.recent(clock.now).iter().map(|observation| &observation.hosts);
+        let smallest = quotas.map(|hosts| cold_start_quota(rate, target, clock.host, hosts)).min();
+        smallest.unwrap_or(if rate > 0.0 { 0 } else { u32::MAX })
+    }
 }
 
 fn equal(hosts: &[HostWeight]) -> Vec<HostWeight> {
@@ -135,3 +170,11 @@
     /// Boot time at which the host last saw its own row renewed; zero when it has not seen its row.
     pub renewed_at: BootTime,
 }
+
+impl ShareClock<'_> {
+    /// Whether the other hosts may have left this one out, because its row is not renewed.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.now.saturating_sub(self.renewed_at) > MAX_RENEWAL_AGE
+    }
+}
--- a/src/relay/attempt_plan.rs
+++ b/src/relay/attempt_plan.rs
@@ -7,7 +7,7 @@
 //! A repeatable request without a response in time is also sent to another target, and the first response is used.
 
 use crate::fleet::fleet_view::TargetEntry;
-use crate::fleet::target_load::{LoadTable, cold_start_quota};
+use crate::fleet::target_load::LoadTable;
 use crate::policy::limit_share::ShareClock;
 use crate::prelude::*;
 
@@ -23,8 +23,6 @@
 pub struct ChoiceContext<'a> {
     /// Failure domain of this host; targets in other domains cost more.
     pub domain: &'a str,
-    /// Hosts that share the cold start quota, this host included.
-    pub hosts: &'a [&'a str],
     /// Requests per second that all hosts together may start on a target that is still cold, see
     /// [`TargetEntry::cold_until`]; 0 when unlimited.
     pub cold_rate: f64,
@@ -43,11 +41,10 @@
 ) -> Option<&'a TargetEntry> {
     let mut best: Option<((bool, bool), f64, &TargetEntry)> = None;
     for target in candidates.filter(|target| !attempted.contains(&target.id)) {
-        if target.cold_until > context.clock.now {
-            let quota = cold_start_quota(context.cold_rate, &target.id, context.clock.host, context.hosts);
-            if !loads.has_cold_capacity(&target.id, quota, context.clock.now) {
-                continue;
-            }
+        if target.cold_until > context.clock.now
+            && !loads.has_cold_capacity(&target.id, context.cold_rate, &context.clock)
+        {
+            continue;
         }
         let allowance = loads.limit_allowance(target, &context.clock);
         if allowance == Some(0) {
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -264,12 +264,10 @@
     // The current view, since a target may have started to shut down after the request was admitted.
     let view = context.view();
     let now = boot_time();
-    let hosts: Vec<&str> = view.live_members().map(|member| member.host.as_str()).collect();
     let cold_rate =
         relay.view.services.as_ref().and_then(|services| services.service(service).map(|rule| rule.cold_rate));
     let choice_context = ChoiceContext {
         domain: &context.settings.failure_domain,
-        hosts: &hosts,
         cold_rate: cold_rate.unwrap_or_default(),
         clock: context.share_clock(&view),
     };
--- a/tests/integration/fleet/limits.rs
+++ b/tests/integration/fleet/limits.rs
@@ -94,7 +94,7 @@
     loads.start("e2", false, false, at(1_000));
     let mut choose = |now| {
         let clock = share_clock("h1", at(now));
-        let context = ChoiceContext { domain: "north", hosts: &["h1"], cold_rate: 11.0, clock };
+        let context = ChoiceContext { domain: "north", cold_rate: 11.0, clock };
         choose_target(targets.iter(), &[], &mut loads, &context).map(|target| target.id.clone())
     };
     expect_that!([choose(1_500), choose(7_000)], eq(&[Some("e2".to_owned()), Some("e1".to_owned())]));
--- a/tests/integration/jobs/gradings.rs
+++ b/tests/integration/jobs/gradings.rs
@@ -30,7 +30,6 @@
         service: "models",
         cold_rate: 0.0,
         domain: "north",
-        hosts: &["h1", "h2"],
         clock: share_clock("h1", now),
     };
     let due_items = queue.due_items(open, now);
--- a/tests/integration/jobs/plan.rs
+++ b/tests/integration/jobs/plan.rs
@@ -43,13 +43,13 @@
     now: BootTime,
 ) -> Vec<(usize, String)> {
     let idle_connections = IdleConnections::new(idle_addresses);
+    loads.shares.record_hosts(view, "h1", now);
     let context = PlacementContext {
         idle_connections: &idle_connections,
         view,
         service: "models",
         cold_rate: 11.0,
         domain: "north",
-        hosts: &["h1", "h2"],
         clock: share_clock("h1", now),
     };
     scheduler.start_items(loads, &context).into_iter().map(|start| (start.item, start.target.id)).collect()
@@ -166,7 +166,6 @@
         service: "models",
         cold_rate: 11.0,
         domain: "north",
-        hosts: &["h1"],
         clock: share_clock("h1", now),
     };
     let starts = scheduler.start_items(&mut loads, &context);
--- a/tests/integration/jobs/slow_engines.rs
+++ b/tests/integration/jobs/slow_engines.rs
@@ -30,7 +30,6 @@
         service: "models",
         cold_rate: 0.0,
         domain: "north",
-        hosts: &[],
         idle_connections: &idle_connections,
         clock: share_clock("h1", now),
     };
--- a/tests/integration/jobs/waves.rs
+++ b/tests/integration/jobs/waves.rs
@@ -59,14 +59,12 @@
             loads.end(&target, true);
             scheduler.record_run_end(item, RunOutcome::Complete, now);
         }
-        let hosts = ["h1"];
         let context = PlacementContext {
             idle_connections,
             view: &view,
             service: "models",
             cold_rate: 11.0,
             domain: "north",
-            hosts: &hosts,
             clock: share_clock("h1", now),
         };
         for start in scheduler.start_items(&mut loads, &context) {
--- a/tests/integration/relay/attempts.rs
+++ b/tests/integration/relay/attempts.rs
@@ -7,7 +7,7 @@
 use crate::fleet::builders::{at, engine, share_clock};
 
 fn choice_context() -> ChoiceContext<'static> {
-    ChoiceContext { domain: "north", hosts: &["h1"], cold_rate: 11.0, clock: share_clock("h1", at(10_000)) }
+    ChoiceContext { domain: "north", cold_rate: 11.0, clock: share_clock("h1", at(10_000)) }
 }
 
 /// Guards against requests that are still sent to a failing target while another target works.
