Give shares of rate limits that cannot be divided evenly to hosts by their weights

Cause: what was left of a limit after rounding down went to hosts in turn, whatever their weights. With a low limit most of it was left, and went to hosts without work: two owners of jobs among nine hosts got half of four requests.

Change: the requests of a window are evenly spaced over the weights of the hosts, and shifted each turn. Every host gets its exact share, rounded up or down, and the shares still add up to the limit.

--- a/src/policy/limit_share.rs
+++ b/src/policy/limit_share.rs
@@ -6,7 +6,8 @@
 //! its own share, so that no host has to ask another before it sends. The shares of a limit sum up to the limit.
 //!
 //! - A host that runs many batch job requests of the service gets a larger share, since a few hosts own most jobs.
-//! - What cannot be divided evenly goes to some hosts, which take turns, so that each host can use a low limit sometimes.
+//! - What cannot be divided evenly goes to some hosts, which take turns by their weights, so that each host can use a low
+//!   limit sometimes.
 //! - The hosts learn of a change at different times. A smaller share takes effect at once, a larger one after
 //!   [`SHARE_SETTLE_TIME`], when all hosts have learned of the change and what they started before no longer counts.
 //! - A host whose row is not renewed, because the store turns it away, is soon left out by the others, which then divide
@@ -48,19 +49,21 @@
 
 /// Requests that `own_host` may start on a target within [`LIMIT_WINDOW`] when it takes `rate` from all `hosts` together,
 /// which must be sorted and include `own_host`. At least one request in a window is allowed over all hosts.
+///
+/// The hosts stand on a line, each as long as its weight, on which the requests of a window are evenly spaced. A host gets the
+/// requests on its part, which are its exact share rounded up or down; the turn shifts the requests.
 #[must_use]
 pub fn limit_share(rate: MilliRate, target: &str, own_host: &str, hosts: &[HostWeight], turn: u64) -> u64 {
     let total = (rate.saturating_mul(LIMIT_WINDOW.as_secs()) / 1000).max(1);
-    let weight_sum: u64 = hosts.iter().map(|host| u64::from(host.weight)).sum::<u64>().max(1);
-    let base = |host: &HostWeight| total.saturating_mul(host.weight.into()) / weight_sum;
-    let Some(own) = hosts.iter().find(|host| host.host == own_host) else { return 0 };
-    let rest = total.saturating_sub(hosts.iter().map(base).sum());
-    let own_rank = rendezvous_hash(target, own_host);
-    let position = hosts.iter().filter(|host| rendezvous_hash(target, &host.host) > own_rank).count() as u64;
-    let count = hosts.len() as u64;
-    let first = turn.wrapping_mul(rest) % count;
-    let has_rest = (position + count - first) % count < rest;
-    base(own) + u64::from(has_rest)
+    let Some(own) = hosts.iter().position(|host| host.host == own_host) else { return 0 };
+    let length = |hosts: &[HostWeight]| hosts.iter().map(|host| u64::from(host.weight)).sum::<u64>();
+    let whole = length(hosts).max(1);
+    // Strides of about 0.62 spread the turns over the line.
+    let stride = (whole * 5 / 8).max(1);
+    let shift = rendezvous_hash(target, "shift").wrapping_add(turn.wrapping_mul(stride)) % whole;
+    let count_before = |position: u64| total.saturating_mul(position).saturating_add(shift) / whole;
+    let start = length(&hosts[..own]);
+    count_before(start + u64::from(hosts[own].weight)) - count_before(start)
 }
 
 /// Requests that `own_host` may start on a cold target within one second, so that all `hosts` together start at most `rate`,
