Leave samples of steps out of the quarantine

Trainers saw: a sample that was alone on two engines that crashed was quarantined, and its run ended with code 1601 and lost its text.

Cause: the quarantine takes every request that is present when targets crash for a possible cause. Samples are handed in for later and never crash targets by themselves. Class: guilt by presence.

Change: runs of samples are neither recorded nor refused and do not wait for a turn; one that ends well still disproves a crash of its target. The waiting time before a retry is passed in, since runs without a fingerprint have none.

--- a/src/traffic/crash_quarantine.rs
+++ b/src/traffic/crash_quarantine.rs
@@ -81,6 +81,11 @@
         self.lock_table().record_end(target, fingerprint, (self.clock)());
     }
 
+    /// Records that the run of a sample, which began at `started_at`, ended well on a target.
+    pub fn survive(&self, target: &str, started_at: BootTime) {
+        self.lock_table().record_survivor(target, started_at);
+    }
+
     /// Records that a target crashed while a request was in flight there. The first call for a crash reports it to the
     /// other hosts.
     pub fn crash(&self, target: &str, failure_domain: &str, fingerprint: &str) {
--- a/src/traffic/engine_runner.rs
+++ b/src/traffic/engine_runner.rs
@@ -7,7 +7,7 @@
 use crate::generated::peer_messages::PermitOutcome;
 use crate::policy::prompt_prefix::prompt_prefixes;
 use crate::prelude::*;
-use crate::traffic::crash_quarantine::{CrashQuarantine, fingerprint_of};
+use crate::traffic::crash_quarantine::{CrashQuarantine, SuspectTurn, fingerprint_of};
 use crate::traffic::engine_client::{EngineError, cancel_request, export_cache, import_cache, open_stream};
 use crate::traffic::idle_transport::StopCheck;
 use crate::traffic::quarantine::Fingerprint;
@@ -44,9 +44,7 @@
 }
 
 impl RunnerDependencies {
-    /// Sleeps until the next attempt may start: for the retry delay, and for at least
-    /// `CRASH_SETTLE` if a recent crash involved the request, so that crash
-    /// notices of other hosts arrive first.
+    /// Sleeps until the next attempt may start: for the retry delay, and for at least `settle_time`.
     ///
     /// # Errors
     ///
@@ -54,10 +52,10 @@
     pub(super) fn wait_before_retry<E>(
         &self,
         attempts: u32,
-        fingerprint: &Fingerprint,
+        settle_time: Duration,
         check_stop: impl Fn() -> Result<(), E>,
     ) -> Result<(), E> {
-        let delay = self.retries.delay(attempts).max(self.crashes.settle_time(fingerprint));
+        let delay = self.retries.delay(attempts).max(settle_time);
         let retry_at = (self.clock)() + delay;
         loop {
             check_stop()?;
@@ -155,7 +153,8 @@
     run: &'a EngineRun,
     stop: &'a RunStop,
     assembly: TextAssembly,
-    fingerprint: Fingerprint,
+    /// Fingerprint for the quarantine; `None` for a sample of a step, which is never the cause of a crash.
+    fingerprint: Option<Fingerprint>,
     prefix_hashes: Vec<u64>,
     /// Number of attempts started so far.
     attempts: u32,
@@ -173,7 +172,7 @@
             run,
             stop,
             assembly: TextAssembly::new(&run.request_id, run.max_tokens, run.least_version),
-            fingerprint: run_fingerprint(run),
+            fingerprint: (!run.is_step).then(|| run_fingerprint(run)),
             prefix_hashes: prompt_prefixes(&run.prompt),
             attempts: 0,
             excluded_targets: Vec::new(),
@@ -185,11 +184,7 @@
     fn run_attempts(&mut self, sink: PieceSink<'_>) -> Result<EngineResult, ResultCode> {
         loop {
             self.check_stop()?;
-            // The code `Quarantined` tells the caller that no target ran the request, which is true only before the
-            // first attempt.
-            let verdict = self.dependencies.crashes.check(&self.fingerprint);
-            verdict.map_err(|code| if self.attempts == 0 { code } else { ResultCode::TargetFailed })?;
-            let _turn = self.dependencies.crashes.wait_turn(&self.fingerprint);
+            let _turn = self.wait_for_admission()?;
             let permit = self.acquire_attempt_permit()?;
             match self.run_attempt(permit, sink) {
                 Ok(()) => return Ok(self.build_result("stop")),
@@ -214,6 +209,16 @@
         }
     }
 
+    /// Checks the quarantine and waits for the turn of a suspect request; `None` lets the run go on without a turn.
+    fn wait_for_admission(&self) -> Result<Option<SuspectTurn>, ResultCode> {
+        let Some(fingerprint) = &self.fingerprint else { return Ok(None) };
+        // The code `Quarantined` tells the caller that no target ran the request, which is true only before the first
+        // attempt.
+        let verdict = self.dependencies.crashes.check(fingerprint);
+        verdict.map_err(|code| if self.attempts == 0 { code } else { ResultCode::TargetFailed })?;
+        Ok(self.dependencies.crashes.wait_turn(fingerprint))
+    }
+
     fn build_result(&self, default_reason: &str) -> EngineResult {
         EngineResult {
             text: self.assembly.text().to_owned(),
@@ -286,9 +291,11 @@
         let started_at = (self.dependencies.clock)();
         let tokens_before = self.assembly.tokens();
         let mut first_token_at = None;
-        self.dependencies.crashes.begin(&permit.target.id, &self.fingerprint);
+        if let Some(fingerprint) = &self.fingerprint {
+            self.dependencies.crashes.begin(&permit.target.id, fingerprint);
+        }
         let result = self.read_stream(&permit, sink, &mut first_token_at);
-        self.report_to_quarantine(&permit, &result);
+        self.report_to_quarantine(&permit, &result, started_at);
         let ended_at = (self.dependencies.clock)();
         let total = ended_at.saturating_sub(started_at);
         self.target_time += total;
@@ -310,13 +317,15 @@
     }
 
     /// Tells the quarantine whether the attempt crashed the target. A broken connection is taken for a crash.
-    fn report_to_quarantine(&self, permit: &Permit, result: &Result<(), AttemptEnd>) {
-        let target = &permit.target;
-        match result {
-            Err(AttemptEnd::Failed(EngineError::Broken)) => {
-                self.dependencies.crashes.crash(&target.id, &target.failure_domain, &self.fingerprint);
+    fn report_to_quarantine(&self, permit: &Permit, result: &Result<(), AttemptEnd>, started_at: BootTime) {
+        let (target, crashes) = (&permit.target, &self.dependencies.crashes);
+        match (result, &self.fingerprint) {
+            (Ok(()), None) => crashes.survive(&target.id, started_at),
+            (_, None) => {}
+            (Err(AttemptEnd::Failed(EngineError::Broken)), Some(fingerprint)) => {
+                crashes.crash(&target.id, &target.failure_domain, fingerprint);
             }
-            _ => self.dependencies.crashes.end(&target.id, &self.fingerprint),
+            (_, Some(fingerprint)) => crashes.end(&target.id, fingerprint),
         }
     }
 
@@ -395,7 +404,9 @@
     }
 
     fn wait_before_retry(&self) -> Result<(), ResultCode> {
-        self.dependencies.wait_before_retry(self.attempts, &self.fingerprint, || self.check_stop())
+        let settle_time =
+            self.fingerprint.as_ref().map_or(Duration::ZERO, |known| self.dependencies.crashes.settle_time(known));
+        self.dependencies.wait_before_retry(self.attempts, settle_time, || self.check_stop())
     }
 
     fn record_usage(&self, is_complete: bool) {
--- a/src/traffic/plain_runner.rs
+++ b/src/traffic/plain_runner.rs
@@ -250,7 +250,8 @@
     }
 
     fn wait_before_retry(&self) -> Result<(), PlainEnd> {
-        self.dependencies.wait_before_retry(self.attempts, &self.fingerprint, || self.check_stop())
+        let settle_time = self.dependencies.crashes.settle_time(&self.fingerprint);
+        self.dependencies.wait_before_retry(self.attempts, settle_time, || self.check_stop())
     }
 }
 
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -4,7 +4,8 @@
 //! requests there. A request is quarantined when it was in flight in at least [`CRASH_LIMIT`] crashes and is the only
 //! request that these crashes have in common. A quarantine ends after [`QUARANTINE_PERIOD`], also when the caller keeps
 //! sending the request; one further crash then renews the quarantine. Crashes of several targets of a failure domain at
-//! about the same time are put down to the domain and do not count against a request.
+//! about the same time are put down to the domain and do not count against a request. Samples of steps are handed in for
+//! later and never crash targets by themselves: they are neither recorded nor refused.
 
 use crate::prelude::*;
 
@@ -111,6 +112,12 @@
         });
     }
 
+    /// Records that a run which began at `started_at` has ended well on a target. The target has not crashed since then, so
+    /// that crashes of it which were reported meanwhile are removed.
+    pub fn record_survivor(&mut self, target: &str, started_at: BootTime) {
+        self.crashes.retain(|record| record.target != target || record.at < started_at);
+    }
+
     /// Records that a target crashed while a request was in flight. Returns the record to report to other hosts.
     /// Returns `None` when the request is not recorded as in flight there, such as after another request reported the
     /// crash.
--- a/tests/integration/quarantine.rs
+++ b/tests/integration/quarantine.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use camphorspring::clock::BootTime;
+use camphorspring::clock::{BootTime, boot_time};
 use camphorspring::control::HostIdentity;
 use camphorspring::generated::peer_messages::{CrashNotice, PeerFrame, QuarantineNotice};
+use camphorspring::traffic::EngineRun;
 use camphorspring::traffic::crash_quarantine::{CrashQuarantine, fingerprint_of};
+use camphorspring::traffic::engine_runner::engine_runner;
 use camphorspring::traffic::quarantine::{CRASH_REPORT_DELAY, CrashRecord, QUARANTINE_PERIOD, QuarantineTable};
 use googletest::prelude::*;
 
-use crate::traffic_bench::{GatewayBench, PlacedTarget, ScriptedTarget, TargetFault};
+use crate::traffic_bench::{GatewayBench, PlacedTarget, ScriptedTarget, TargetFault, whole_text};
 
 /// Crash of a target: time in seconds, target, and fingerprints of the requests in flight there.
 struct Crash(u64, &'static str, &'static [&'static str]);
@@ -157,6 +159,52 @@
     expect_that!(status, eq(200));
 }
 
+/// Guards against a sample of a step that is given up because engines crashed under it. Samples never crash engines by
+/// themselves, so the run must go on after each crash, and an engine that is back must get it.
+#[googletest::test]
+fn sample_under_which_engines_crashed_is_still_owed() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let engines: Vec<ScriptedTarget> = (0..2).map(|_| ScriptedTarget::engine(&runtime, 1)).collect();
+    let targets: Vec<PlacedTarget<'_>> = ["e1", "e2"]
+        .iter()
+        .zip(&engines)
+        .map(|(id, engine)| PlacedTarget { service: "scoring", id, address: &engine.address })
+        .collect();
+    let bench = GatewayBench::start(&targets, "http://127.0.0.1:1");
+    engines[0].script([TargetFault::DieAfter(2), TargetFault::DieAfter(1), TargetFault::DieAfter(1)]);
+    engines[1].script([TargetFault::DieAfter(1), TargetFault::DieAfter(0)]);
+    let run = EngineRun {
+        request_id: "sample".to_owned(),
+        organisation: "north".to_owned(),
+        key_id: None,
+        service: "scoring".to_owned(),
+        model: "pile".to_owned(),
+        prompt: "sound".to_owned(),
+        max_tokens: 8,
+        seed: 1,
+        firm_only: false,
+        deadline: boot_time() + Duration::from_mins(1),
+        is_step: true,
+        least_version: None,
+    };
+    let result = engine_runner(bench.runner.clone())(&run, &mut |_| true);
+    expect_that!(result.map(|result| result.text), ok(eq(&whole_text(8))));
+    expect_that!(engines.iter().map(ScriptedTarget::runs).sum::<usize>(), eq(6));
+}
+
+/// Guards against a broken connection that is taken for a crash although a sample runs on the target all the while.
+#[googletest::test]
+fn surviving_sample_removes_crash() {
+    let mut table = QuarantineTable::default();
+    table.record_start("t1", "a");
+    table.record_crash("t1", "east", "a", Duration::from_secs(2));
+    table.record_survivor("t1", Duration::from_secs(3));
+    table.record_survivor("t2", Duration::from_secs(1));
+    let after_others = table.count_crashes("a", Duration::from_secs(10));
+    table.record_survivor("t1", Duration::from_secs(1));
+    expect_that!((after_others, table.count_crashes("a", Duration::from_secs(10))), eq((1, 0)));
+}
+
 /// Guards against announcements that are ignored by hosts of the same failure domain, or accepted by those of another.
 #[googletest::test]
 fn announcements_are_limited_to_domain() {
