Test that items of batch jobs outlive a burst of crashes

Report: an item under which several servers crashed was never placed again. On the platform this cannot happen: a broken run is no failed run, and nothing counts crashes by item.

Evidence: 24 crashes of three engines hit twelve items of 400 events; all end whole, the test takes 4.9 s. With broken runs counted as failures the test fails.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! calls, loses responses, applies transactions late and discards its history. Targets lose responses, freeze and are
 //! replaced by another version of their software.
 
+mod crashes;
 mod fault_plan;
 mod installation;
 mod limits;
