Refuse new streams behind streams that wait, so that those taken up go on

Cause: new streams were sent to engines however long others waited there already. They may use any engine, those taken up only the engines of their software version; in the queues of the engines all wait in the order of arrival, until their callers leave.

Change: a host does not begin a stream on an engine on which one of its own has waited for its first event for longer than the objective of the route, and refuses it at once when no other engine is left (429, code 1201). Streams taken up are sent all the same.

The new test fails without the change.

--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -131,3 +131,27 @@
         self.context.with_loads(|loads| loads.end(&self.target, self.is_job));
     }
 }
+
+/// Guard of a stream that waits for its first event on a target; dropping the guard ends the wait.
+#[derive(Debug)]
+pub struct StreamWait {
+    context: Arc<HostContext>,
+    target: TargetId,
+    started_at: BootTime,
+}
+
+impl StreamWait {
+    /// Records the start of the wait.
+    #[must_use]
+    pub fn start(context: &Arc<HostContext>, target: &str) -> Self {
+        let started_at = boot_time();
+        context.with_loads(|loads| loads.start_stream_wait(target, started_at));
+        Self { context: Arc::clone(context), target: target.to_owned(), started_at }
+    }
+}
+
+impl Drop for StreamWait {
+    fn drop(&mut self) {
+        self.context.with_loads(|loads| loads.end_stream_wait(&self.target, self.started_at));
+    }
+}
--- a/src/fleet/target_load.rs
+++ b/src/fleet/target_load.rs
@@ -50,6 +50,8 @@
     pub seen_versions: Vec<(String, WeightVersion)>,
     /// Start times of the requests that were started while the target was cold, within the last second.
     cold_starts: Vec<BootTime>,
+    /// Start times of the streams of callers that wait for their first event, in order.
+    waiting_streams: Vec<BootTime>,
     /// Start times of all requests within the last [`LIMIT_WINDOW`], in order.
     recent_starts: VecDeque<BootTime>,
     /// Share of the announced rate limit, as last computed.
@@ -78,6 +80,7 @@
             pace: None,
             seen_versions: Vec::new(),
             cold_starts: Vec::new(),
+            waiting_streams: Vec::new(),
             recent_starts: VecDeque::new(),
             limit_share: None,
         }
@@ -196,6 +199,27 @@
         Some(u32::try_from(share.saturating_sub(started as u64)).unwrap_or(u32::MAX))
     }
 
+    /// Records that a stream of a caller waits for its first event from now on.
+    pub fn start_stream_wait(&mut self, target: &str, now: BootTime) {
+        self.entry(target).waiting_streams.push(now);
+    }
+
+    /// Records that the stream that has waited since `started_at` waits no more.
+    pub fn end_stream_wait(&mut self, target: &str, started_at: BootTime) {
+        let waiting = &mut self.entry(target).waiting_streams;
+        if let Some(position) = waiting.iter().position(|start| *start == started_at) {
+            waiting.remove(position);
+        }
+    }
+
+    /// Whether a stream of this host has waited on the target for its first event for longer than `max_wait`, so that a stream
+    /// which is begun now would wait as long.
+    #[must_use]
+    pub fn has_stream_queue(&self, target: &str, max_wait: Duration, now: BootTime) -> bool {
+        let oldest = self.get(target).and_then(|load| load.waiting_streams.first());
+        oldest.is_some_and(|start| now.saturating_sub(*start) > max_wait)
+    }
+
     /// Records the end of a request, however it ended.
     pub fn end(&mut self, target: &str, is_job: bool) {
         let load = self.entry(target);
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -13,7 +13,7 @@
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use hyper::{Response, StatusCode, http};
 
-use crate::entry::host_context::{HostContext, RunningRequest};
+use crate::entry::host_context::{HostContext, RunningRequest, StreamWait};
 use crate::fleet::fleet_view::{FleetView, TargetEntry};
 use crate::fleet::service_map::{RouteKind, RouteRule};
 use crate::policy::shard_map::rendezvous_hash;
@@ -181,7 +181,7 @@
         }
         if running_attempts.is_empty() {
             return error_response
-                .map_or_else(|| Err(final_code(trace, unsent_code(context, service, software.as_ref()))), Ok);
+                .map_or_else(|| Err(final_code(trace, unsent_code(context, relay, service, software.as_ref()))), Ok);
         }
         let outcome = match hedge_after {
             Some(delay) => tokio::time::timeout(delay, running_attempts.next()).await.ok(),
@@ -203,16 +203,28 @@
 }
 
 /// Why no target of the service could be chosen.
-fn unsent_code(context: &HostContext, service: &str, software: Option<&SoftwareVersion>) -> ResultCode {
+fn unsent_code(
+    context: &HostContext,
+    relay: &RelayRequest<'_>,
+    service: &str,
+    software: Option<&SoftwareVersion>,
+) -> ResultCode {
     let view = context.view();
     let mut fitting = view.usable_targets(service).filter(|target| has_software(target, software)).peekable();
-    if fitting.peek().is_none() && software.is_some() {
-        ResultCode::StreamNotResumable
-    } else if context.with_loads(|loads| fitting.any(|target| loads.limits.rate(&target.id).is_some())) {
-        ResultCode::RateLimited
-    } else {
-        ResultCode::NoTarget
+    if fitting.peek().is_none() {
+        return if software.is_some() { ResultCode::StreamNotResumable } else { ResultCode::NoTarget };
     }
+    let now = boot_time();
+    context.with_loads(|loads| {
+        let targets: Vec<&TargetEntry> = fitting.collect();
+        if targets.iter().any(|target| loads.limits.rate(&target.id).is_some()) {
+            ResultCode::RateLimited
+        } else if targets.iter().any(|target| loads.has_stream_queue(&target.id, relay.route.objective, now)) {
+            ResultCode::QueueFull
+        } else {
+            ResultCode::NoTarget
+        }
+    })
 }
 
 fn has_software(target: &TargetEntry, software: Option<&SoftwareVersion>) -> bool {
@@ -272,8 +284,12 @@
         clock: context.share_clock(&view),
     };
     let target = context.with_loads(|loads| {
-        let candidates = view.usable_targets(service).filter(|target| has_software(target, software));
-        let target = choose_target(candidates, attempted, loads, &choice_context).cloned()?;
+        let mut candidates: Vec<&TargetEntry> =
+            view.usable_targets(service).filter(|target| has_software(target, software)).collect();
+        if relay.stream == StreamStart::Begin {
+            candidates.retain(|target| !loads.has_stream_queue(&target.id, relay.route.objective, now));
+        }
+        let target = choose_target(candidates.into_iter(), attempted, loads, &choice_context).cloned()?;
         loads.start(&target.id, false, target.cold_until > now, now);
         Some(target)
     })?;
@@ -292,6 +308,7 @@
     let started = Instant::now();
     let options = SendOptions { target: &target.id, deadline: deadline.saturating_sub(now), resume_after: None };
     let Ok(request) = (context.target_codec.encode)(&relay.request, &options) else { return AttemptOutcome::NotRun };
+    let stream_wait = (relay.stream != StreamStart::NotResumable).then(|| StreamWait::start(context, &target.id));
     let exchange = match context.pool.send(target.address, request).await {
         Ok(exchange) => exchange,
         Err(error) => {
@@ -299,6 +316,7 @@
             return if error == ExchangeError::NotConnected { AttemptOutcome::NotRun } else { AttemptOutcome::Lost };
         }
     };
+    drop(stream_wait);
     let Exchange { response, connection, is_reused } = exchange;
     let (head, body) = response.into_parts();
     let target_head = (context.target_codec.decode)(&head);
--- a/tests/integration/relay/streams.rs
+++ b/tests/integration/relay/streams.rs
@@ -62,9 +62,9 @@
     expect_that!(found, eq(&vec![Some(origin("s1")), None, None]));
 }
 
-/// Sends a request of a stream to a host whose engines have these software versions; returns the status and the version
-/// that is recorded as its origin.
-fn status_with(engines: &[&str], stream: StreamStart) -> (u16, Option<StreamOrigin>) {
+/// Sends a request of a stream to a host whose engines `e0` and so on have these software versions; returns the status and the
+/// version that is recorded as its origin. On the `queued` engines, a stream of the host has waited for its first event for 1 s.
+fn status_with(engines: &[&str], queued: &[&str], stream: StreamStart) -> (u16, Option<StreamOrigin>) {
     let answer = || "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: s\r\ncontent-length: 2\r\n\r\nok".to_owned();
     let target = |(number, software): (usize, &&str)| TargetEntry {
         software: (*software).to_owned(),
@@ -74,6 +74,9 @@
     let targets: Vec<TargetEntry> = engines.iter().enumerate().map(target).collect();
     let (_, view) = watch::channel(Arc::new(view(targets, &["h1"], boot_time())));
     let context = context_with_view(view);
+    for target in queued {
+        context.with_loads(|loads| loads.start_stream_wait(target, boot_time().saturating_sub(at(1_000))));
+    }
     let services = vec![WeightedService { service: "models".to_owned(), weight: 1 }];
     let route = RouteRule { kind: RouteKind::AtMostOnce, services, is_resumable: true, ..plain_route() };
     let request = TargetRequest {
@@ -102,11 +105,24 @@
 fn streams_go_on_at_their_origin_only() {
     let other_service = StreamOrigin { service: "others".to_owned(), ..origin("s1") };
     let statuses = [
-        status_with(&["s1"], StreamStart::Begin),
-        status_with(&["s2", "s2", "s1"], StreamStart::Continue(origin("s1"))),
-        status_with(&["s2", "s2"], StreamStart::Continue(origin("s1"))),
-        status_with(&["s1"], StreamStart::Continue(other_service)),
+        status_with(&["s1"], &[], StreamStart::Begin),
+        status_with(&["s2", "s2", "s1"], &[], StreamStart::Continue(origin("s1"))),
+        status_with(&["s2", "s2"], &[], StreamStart::Continue(origin("s1"))),
+        status_with(&["s1"], &[], StreamStart::Continue(other_service)),
     ];
     let expected = [(200, Some(origin("s1"))), (200, None), (503, None), (503, None)];
     expect_that!(statuses.to_vec(), eq(&expected.to_vec()));
 }
+
+/// Guards against queues of new streams at the engines, behind which streams that are taken up wait until their callers leave:
+/// only few engines can continue these, and any engine can begin a new one.
+#[gtest]
+fn new_streams_are_refused_behind_long_waits() {
+    let statuses = [
+        status_with(&["s1", "s2"], &["e0"], StreamStart::Begin),
+        status_with(&["s1", "s2"], &["e0", "e1"], StreamStart::Begin),
+        status_with(&["s1", "s2"], &["e0", "e1"], StreamStart::Continue(origin("s1"))),
+    ];
+    let expected = [(200, Some(origin("s2"))), (429, None), (200, None)];
+    expect_that!(statuses.to_vec(), eq(&expected.to_vec()));
+}
