Save an output from its start after it was dropped

Cause: the saver noticed a dropped output only while it was shorter than what it had saved. Found by reading, while looking for the cause of the joined outputs elsewhere. It concerns routes that want a single weight version, and outputs that are too long.

Change: an output counts how often it was dropped, and the saver compares the count.

An older test passes the count instead of a shorter output; its expected values are the same.

--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -44,6 +44,8 @@
     pub software: Option<SoftwareVersion>,
     /// Whether the target has sent the last event.
     pub is_complete: bool,
+    /// How often an output of the item was dropped, to begin anew.
+    pub restarts: u32,
 }
 
 /// Start of consecutive events that one weight version generated; the span ends where the next one starts.
@@ -56,6 +58,12 @@
 }
 
 impl ItemProgress {
+    /// Drops the output, so that the next run begins anew; returns what was dropped.
+    pub fn restart(&mut self) -> Self {
+        let restarts = self.restarts + 1;
+        std::mem::replace(self, Self { restarts, ..Self::default() })
+    }
+
     /// Appends an event; returns false and changes nothing when it has no id or does not follow the last event.
     pub fn append_event(&mut self, event: StreamEvent, version: Option<WeightVersion>) -> bool {
         let Some(id) = event.id else { return false };
@@ -241,7 +249,7 @@
             for event in new_events {
                 output_bytes += event.data.len();
                 if output_bytes > MAX_OUTPUT_BYTES {
-                    self.with_progress(|progress| *progress = ItemProgress::default());
+                    self.with_progress(ItemProgress::restart);
                     return (RunOutcome::Broken, event_count);
                 }
                 version = event.version.or(version);
@@ -312,7 +320,7 @@
         if self.is_single_version {
             self.with_progress(|progress| {
                 if progress.version_spans.first().is_some_and(|known| known.version != version) {
-                    *progress = ItemProgress::default();
+                    progress.restart();
                     return false;
                 }
                 true
--- a/src/jobs/job_progress.rs
+++ b/src/jobs/job_progress.rs
@@ -65,6 +65,8 @@
 struct SavedLength {
     events: usize,
     is_complete: bool,
+    /// [`ItemProgress::restarts`] of the output.
+    restarts: u32,
 }
 
 impl ProgressSaver {
@@ -73,7 +75,11 @@
     pub fn new(tenure: u32, stored: &[ItemProgress]) -> Self {
         let saved = stored
             .iter()
-            .map(|progress| SavedLength { events: progress.data.len(), is_complete: progress.is_complete })
+            .map(|progress| SavedLength {
+                events: progress.data.len(),
+                is_complete: progress.is_complete,
+                restarts: progress.restarts,
+            })
             .collect();
         // Numbering starts at the reading of the boot clock, so that rows of a second runner in one tenure sort after
         // those of the first.
@@ -83,25 +89,24 @@
     /// Returns the output of an item that is not saved yet and counts it as saved; `None` when there is none or the
     /// output is incomplete and too short.
     pub fn next_segment(&mut self, item: usize, progress: &ItemProgress) -> Option<ProgressSegment> {
+        // An output that was dropped is saved from its start, which replaces what is stored.
+        if self.saved[item].restarts != progress.restarts {
+            self.saved[item] = SavedLength { events: 0, is_complete: false, restarts: progress.restarts };
+        }
         let saved = self.saved[item];
         let index = saved.events;
         let length = progress.data.len();
-        // The output that was saved may have been dropped, for example by a run on another weight version.
-        let is_shorter = length < index;
         let is_saved = length == index && progress.is_complete == saved.is_complete;
         let is_too_short = length < MIN_SAVED_EVENTS && !progress.is_complete;
-        if is_shorter {
-            self.forget_output(item);
-        }
-        if is_shorter || is_saved || is_too_short {
+        if is_saved || is_too_short {
             return None;
         }
-        self.saved[item] = SavedLength { events: length, is_complete: progress.is_complete };
+        self.saved[item] = SavedLength { events: length, is_complete: progress.is_complete, restarts: saved.restarts };
         Some(ProgressSegment {
             item,
             index,
             last_event: progress.last_event?,
-            data: progress.data[index..].to_vec(),
+            data: progress.data.get(index..)?.to_vec(),
             version_runs: spans_from(&progress.version_spans, index),
             software: progress.software.clone(),
             is_last: progress.is_complete,
@@ -112,15 +117,10 @@
     pub fn unmark_saved(&mut self, segments: &[ProgressSegment]) {
         for segment in segments {
             let saved = &mut self.saved[segment.item];
-            *saved = SavedLength { events: saved.events.min(segment.index), is_complete: false };
+            *saved = SavedLength { events: saved.events.min(segment.index), is_complete: false, ..*saved };
         }
     }
 
-    /// Counts the output of an item as not saved, because it was dropped; the next save replaces what is stored.
-    pub fn forget_output(&mut self, item: usize) {
-        self.saved[item] = SavedLength { events: 0, is_complete: false };
-    }
-
     /// Returns a key that sorts after all earlier ones of this saver and of earlier tenures.
     fn next_row_key(&mut self, job: &str) -> String {
         self.sequence += 1;
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -85,7 +85,7 @@
 
 /// Drops the output of an item, which no target of the software that began it can continue.
 fn drop_output(job: &str, item: &str, progress: &Mutex<ItemProgress>) {
-    let dropped = std::mem::take(&mut *progress.lock().unwrap_or_else(PoisonError::into_inner));
+    let dropped = progress.lock().unwrap_or_else(PoisonError::into_inner).restart();
     log::info!(
         job = job, item = item, events = dropped.data.len(), software:? = dropped.software;
         "item_output_dropped"
@@ -364,7 +364,6 @@
         for start in self.context.with_loads(|loads| scheduler.start_items(loads, &placement_context)) {
             if start.drops_output {
                 drop_output(&self.header.job, &self.spec.items[start.item].id, &self.progress[start.item]);
-                self.saver.forget_output(start.item);
                 self.counts.restarted += 1;
             }
             self.counts.starts += 1;
--- a/tests/integration/jobs/progress.rs
+++ b/tests/integration/jobs/progress.rs
@@ -137,9 +137,27 @@
 #[gtest]
 fn dropped_output_is_saved_anew() {
     let mut saver = ProgressSaver::new(0, &[output(0, 1)]);
-    let mut next_index =
-        |events| saver.next_segment(0, &output(events, 1)).map(|segment| (segment.index, segment.data.len()));
-    expect_that!([30, 5, 40].map(&mut next_index), eq([Some((0, 30)), None, Some((0, 40))]));
+    let mut next_index = |events, restarts| {
+        let progress = ItemProgress { restarts, ..output(events, 1) };
+        saver.next_segment(0, &progress).map(|segment| (segment.index, segment.data.len()))
+    };
+    let indexes = [next_index(30, 0), next_index(5, 1), next_index(40, 1)];
+    expect_that!(indexes, eq([Some((0, 30)), None, Some((0, 40))]));
+}
+
+/// Guards against an output that joins two runs in the store: it was dropped, and grew beyond its saved length until the next
+/// save.
+#[gtest]
+fn output_that_grew_again_is_saved_from_its_start() {
+    let mut saver = ProgressSaver::new(0, &[output(0, 1)]);
+    let mut progress = output(30, 1);
+    let first = saver.next_segment(0, &progress).map(|segment| (segment.index, segment.data.len()));
+    progress.restart();
+    for id in 1..=40 {
+        progress.append_event(StreamEvent { id: Some(id), data: format!("again {id}"), version: None }, Some(2));
+    }
+    let second = saver.next_segment(0, &progress).map(|segment| (segment.index, segment.data.len()));
+    expect_that!([first, second], eq([Some((0, 30)), Some((0, 40))]));
 }
 
 /// Guards against an output that goes on anywhere after an update of the program: earlier program versions saved none of
