Continue texts only at the software version of the engine that began them

Cause: as on the platform, work was continued without the facts under which it began; neither the services text nor the engines named a software version.

Change: pieces may name the software of their engine, and one from other software than the first is refused, so that the run tries the next engine. The engine stand-in names a version if told to.

--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -58,10 +58,9 @@
 }
 
 impl ItemProgress {
-    /// Drops the output, so that the next run begins anew; returns what was dropped.
-    pub fn restart(&mut self) -> Self {
-        let restarts = self.restarts + 1;
-        std::mem::replace(self, Self { restarts, ..Self::default() })
+    /// Drops the output, so that the next run begins anew.
+    pub fn restart(&mut self) {
+        *self = Self { restarts: self.restarts + 1, ..Self::default() };
     }
 
     /// Appends an event; returns false and changes nothing when it has no id or does not follow the last event.
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -85,11 +85,12 @@
 
 /// Drops the output of an item, which no target of the software that began it can continue.
 fn drop_output(job: &str, item: &str, progress: &Mutex<ItemProgress>) {
-    let dropped = progress.lock().unwrap_or_else(PoisonError::into_inner).restart();
+    let mut progress = progress.lock().unwrap_or_else(PoisonError::into_inner);
     log::info!(
-        job = job, item = item, events = dropped.data.len(), software:? = dropped.software;
+        job = job, item = item, events = progress.data.len(), software:? = progress.software;
         "item_output_dropped"
     );
+    progress.restart();
 }
 
 #[derive(Debug)]
--- a/src/traffic/text_assembly.rs
+++ b/src/traffic/text_assembly.rs
@@ -1,8 +1,9 @@
 //! Assembles a completion from the pieces of successive engines, without side effects.
 //!
 //! Every token is added once: redundant pieces are dropped and overlapping ones are trimmed. A piece is refused, among
-//! other reasons, if tokens are missing before it, it has no weight version, or its overlap differs from the text so
-//! far. The runner treats a refused piece as a failure of the engine.
+//! other reasons, if tokens are missing before it, it has no weight version, its overlap differs from the text so far, or
+//! another version of the engines' software began the text, since what two versions generate does not fit together. The
+//! runner treats a refused piece as a failure of the engine, and resumes the text on another one.
 
 use crate::generated::caller_messages::VersionSpan;
 use crate::generated::engine_messages::EnginePiece;
@@ -20,6 +21,8 @@
     Unstamped,
     /// The weight version is lower than the minimum of the request.
     TooOld,
+    /// Another version of the engines' software began the text.
+    OtherSoftware,
     /// Tokens between the text so far and the piece are missing.
     Gap,
     /// The piece starts before the end of the text so far, and cannot be trimmed: its text differs there, it starts
@@ -50,6 +53,8 @@
     /// Starts of the pieces that added tokens, in order.
     piece_starts: Vec<PieceStart>,
     spans: Vec<VersionSpan>,
+    /// Software that generated the first piece; `None` when the engine did not name it.
+    software: Option<String>,
     finish_reason: Option<String>,
 }
 
@@ -72,6 +77,7 @@
             tokens: 0,
             piece_starts: Vec::new(),
             spans: Vec::new(),
+            software: None,
             finish_reason: None,
         }
     }
@@ -89,6 +95,9 @@
         if version < self.least_version {
             return Err(PieceError::TooOld);
         }
+        if self.tokens > 0 && piece.software != self.software {
+            return Err(PieceError::OtherSoftware);
+        }
         if piece.index > self.tokens {
             return Err(PieceError::Gap);
         }
@@ -131,6 +140,9 @@
             self.text.push_str(&piece.text);
             return;
         }
+        if self.tokens == 0 {
+            self.software.clone_from(&piece.software);
+        }
         self.piece_starts.push(PieceStart { token_index: piece.index, byte_offset: self.text.len() });
         self.text.push_str(&piece.text);
         self.tokens += piece.tokens;
--- a/standins/src/engine/generation.rs
+++ b/standins/src/engine/generation.rs
@@ -110,6 +110,7 @@
         text: word_at(hash, index),
         tokens: 1,
         weight_version,
+        software: state.options.software.clone(),
         finish_reason: finish_reason.map(str::to_owned),
     }
 }
--- a/standins/src/engine/options.rs
+++ b/standins/src/engine/options.rs
@@ -38,6 +38,8 @@
     pub checks_fencing: bool,
     /// Version of the weights after each start.
     pub weight_version: u64,
+    /// Version of the software that each piece names; pieces name none when absent.
+    pub software: Option<String>,
     /// Base URL of the weight store; without it, staging reads nothing and only takes `stage_time`.
     pub weight_store_url: Option<String>,
     /// Duration of staging weights, in addition to reading them from the store.
@@ -77,6 +79,7 @@
             load_lag: Duration::from_millis(200),
             checks_fencing: true,
             weight_version: 1,
+            software: None,
             weight_store_url: None,
             stage_time: Duration::from_millis(20),
             switch_time: Duration::from_millis(5),
--- a/tests/integration/engine_runs.rs
+++ b/tests/integration/engine_runs.rs
@@ -38,6 +38,7 @@
         text,
         tokens,
         weight_version: Some(version),
+        software: None,
         finish_reason: is_last.then(|| "length".to_owned()),
     };
     let is_usable = match random.random_range(0..20) {
@@ -176,6 +177,49 @@
     }
 }
 
+/// Runs a completion on engines `e1` and so on, which name these versions of their software and stamp the weight versions 1 and
+/// so on. The first engine crashes in mid-stream. Returns the status and the weight versions of the text.
+fn run_with_software(software: &[&str]) -> (u16, Vec<u64>) {
+    let engines: Vec<EngineStandin> = (1..)
+        .zip(software)
+        .map(|(weight_version, software)| {
+            let options = EngineOptions {
+                token_time: Duration::from_millis(5),
+                weight_version,
+                software: Some((*software).to_owned()),
+                ..EngineOptions::default()
+            };
+            EngineStandin::start(options).unwrap()
+        })
+        .collect();
+    let addresses: Vec<String> = engines.iter().map(|engine| engine.server().address().to_string()).collect();
+    let targets: Vec<PlacedTarget<'_>> = ["e1", "e2", "e3"]
+        .iter()
+        .zip(&addresses)
+        .map(|(id, address)| PlacedTarget { service: "scoring", id, address })
+        .collect();
+    let bench = GatewayBench::start(&targets, NO_PLATFORM);
+    let address = bench.address.clone();
+    let caller = std::thread::spawn(move || {
+        let authorization = format!("Bearer {NORTH_KEY}");
+        let body = br#"{"model":"pile","prompt":"seven bags","max_tokens":100,"seed":3}"#;
+        send_request(&address, "POST", "/v1/completions", &[("authorization", &authorization)], body)
+    });
+    wait_until("the first engine produces", || engines[0].records().tokens > 10);
+    engines[0].crash();
+    let (status, answer) = caller.join().unwrap();
+    let answer: serde_json::Value = serde_json::from_str(&answer).unwrap();
+    let spans = answer["weight_versions"].as_array().cloned().unwrap_or_default();
+    (status, spans.iter().filter_map(|span| span["version"].as_u64()).collect())
+}
+
+/// Guards against a text that is joined from engines of two versions of their software, after a crash in mid-stream.
+#[googletest::test]
+fn text_goes_on_at_its_software_version_only() {
+    let results = [run_with_software(&["s1", "s2", "s1"]), run_with_software(&["s1", "s2"])];
+    expect_that!(results, eq(&[(200, vec![1, 3]), (502, vec![])]));
+}
+
 /// Guards against a resumed run that leaves the KV cache of the failed engine unused although that engine still runs,
 /// and against a run that asks a crashed engine for the cache.
 #[googletest::test]
--- a/tests/integration/samples/step_harness.rs
+++ b/tests/integration/samples/step_harness.rs
@@ -59,6 +59,7 @@
                 text: run.request_id.clone(),
                 tokens: 3,
                 weight_version: Some(version),
+                software: None,
                 finish_reason: None,
             };
             if !sink(&piece) {
--- a/tests/integration/traffic_bench.rs
+++ b/tests/integration/traffic_bench.rs
@@ -193,6 +193,7 @@
         text: token_text(index),
         tokens: 1,
         weight_version: (!is_unstamped).then_some(version),
+        software: None,
         finish_reason: (index + 1 == request.max_tokens).then(|| "length".to_owned()),
     };
     format!("data: {}\n\n", serde_json::to_string(&piece).unwrap()).into_bytes()
