--- a/src/relay/stream_origins.rs
+++ b/src/relay/stream_origins.rs
@@ -8,7 +8,7 @@
 //! The host that begins a stream writes a row with the version to the store while the target prepares the first event, and
 //! passes the first event on when the row is written. While the store is out of reach, streams begin after a short wait, and
 //! the row is written later. A host that finds no row refuses to continue the stream. Rows that were waiting while an earlier
-//! write was under way are written together.
+//! write was under way are written together. The leader removes rows that are several minutes old.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -35,7 +35,7 @@
 /// Most rows of one transaction.
 const MAX_WRITES: usize = 50;
 
-/// Most rows that one pass of the removal drops in a partition.
+/// Most rows that one transaction of the removal drops, the limit of the stores.
 const MAX_DROPS: usize = 100;
 
 /// Delay before a failed write is repeated.
@@ -227,15 +227,12 @@
             let at_ms = decode_row(row).map_or(0, |row| row.at_ms);
             whole_millis(store_time).saturating_sub(at_ms) >= whole_millis(ORIGIN_RETENTION)
         };
-        let drops: Vec<RowName> = rows
-            .iter()
-            .filter(is_old)
-            .take(MAX_DROPS)
-            .map(|row| RowName { table: ORIGIN_TABLE, key: row.key.clone() })
-            .collect();
-        if !drops.is_empty() {
-            removed += drops.len();
-            (store.transact)(PartitionTransaction { part, drops, ..PartitionTransaction::default() }).await?;
+        let old: Vec<&StoredRow> = rows.iter().filter(is_old).collect();
+        for chunk in old.chunks(MAX_DROPS) {
+            let drops = chunk.iter().map(|row| RowName { table: ORIGIN_TABLE, key: row.key.clone() }).collect();
+            let transaction = PartitionTransaction { part: part.clone(), drops, ..PartitionTransaction::default() };
+            (store.transact)(transaction).await?;
+            removed += chunk.len();
         }
     }
     Ok(removed)
--- a/tests/integration/relay/streams.rs
+++ b/tests/integration/relay/streams.rs
@@ -43,10 +43,10 @@
     let context = context();
     let found = run(async {
         let writer = tokio::spawn(store_origins(Arc::clone(&context)));
-        for number in 0..120 {
+        for number in 0..1_200 {
             context.stream_origins.record(&format!("r{number}"), origin("s1"), at(1_000));
         }
-        for number in 0..120 {
+        for number in 0..1_200 {
             context.stream_origins.wait_stored(&format!("r{number}")).await;
         }
         writer.abort();
@@ -56,7 +56,7 @@
             remove_old_origins(&other.store, at(60_000)).await.expect("the store answers"),
             remove_old_origins(&other.store, at(600_000)).await.expect("the store answers"),
         ];
-        assert_eq!(removed, [0, 120]);
+        assert_eq!(removed, [0, 1_200]);
         found.push(find_origin(&other, "r7").await);
         found.into_iter().map(|found| found.expect("the store answers")).collect::<Vec<_>>()
     });
