Count the wait for a software version from the last progress of an output

Cause: an item with a part of its output waits two seconds for an engine of the version that began it. Each run that was refused or broke off began the wait anew, so that an item could try the last engine of its version over and over, while others had room.

Change: the wait counts from the time at which the output last grew, or at which an engine that had accepted the run stalled.

--- a/src/jobs/item_scheduler.rs
+++ b/src/jobs/item_scheduler.rs
@@ -47,7 +47,8 @@
 /// to start.
 const WAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time for which an item waits for an engine of the software version that began its output.
+/// Time for which an item waits for an engine of the software version that began its output. Runs that engines refuse or break
+/// off do not prolong it.
 const SOFTWARE_WAIT: Duration = Duration::from_secs(2);
 
 /// How a run of an item ended.
@@ -113,6 +114,10 @@
     has_run: bool,
     /// Software version that began the output; `None` while the output is empty.
     software: Option<SoftwareVersion>,
+    /// Number of events of the output.
+    events: usize,
+    /// When the output last grew, or the last run that an engine accepted ended.
+    bound_since: BootTime,
 }
 
 #[derive(Debug, Default)]
@@ -208,6 +213,8 @@
                 stalls: 0,
                 has_run: false,
                 software: None,
+                events: 0,
+                bound_since: BootTime::ZERO,
             })
             .collect();
         let mut longest_first: Vec<usize> = (0..items.len()).collect();
@@ -264,13 +271,15 @@
         self.items[item].state = ItemState::Ungraded;
     }
 
-    /// Records which software version began the output of an item; a waiting item waits for it from now on.
-    pub fn set_software(&mut self, item: usize, software: Option<SoftwareVersion>, now: BootTime) {
+    /// Records the output of an item that does not run: which software version began it, and its number of events. A waiting
+    /// item waits for an engine of that version from the time at which its output last grew, or a run that stalled ended.
+    pub fn record_output(&mut self, item: usize, software: Option<SoftwareVersion>, events: usize, now: BootTime) {
         let scheduled_item = &mut self.items[item];
-        scheduled_item.software = software;
-        if let ItemState::Waiting(due) = &mut scheduled_item.state {
-            *due = (*due).max(now);
+        if scheduled_item.software != software || scheduled_item.events != events {
+            scheduled_item.bound_since = now;
         }
+        scheduled_item.software = software;
+        scheduled_item.events = events;
     }
 
     /// Counts for each group the items that are neither finished nor listed; returns the counts by item.
@@ -331,11 +340,10 @@
     ) -> Option<&SoftwareVersion> {
         let scheduled_item = &self.items[item];
         let software = scheduled_item.software.as_ref()?;
-        let ItemState::Waiting(due) = scheduled_item.state else { return None };
         let is_served = context.view.usable_targets(context.service).any(|target| {
             target.software == *software && loads.allows_version(target, &self.model, self.least_version)
         });
-        (is_served && context.clock.now.saturating_sub(due) < SOFTWARE_WAIT).then_some(software)
+        (is_served && context.clock.now.saturating_sub(scheduled_item.bound_since) < SOFTWARE_WAIT).then_some(software)
     }
 
     /// Finds the longest item that may start now and is not among the postponed ones, and whether it may only start on an
@@ -363,6 +371,7 @@
             RunOutcome::Broken | RunOutcome::Slow => (ItemState::Waiting(now), false),
             RunOutcome::Stalled => {
                 scheduled_item.stalls += 1;
+                scheduled_item.bound_since = now;
                 (ItemState::Waiting(now), false)
             }
             RunOutcome::Failed => {
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -218,8 +218,7 @@
             runner.complete_output(item);
             continue;
         }
-        let software = runner.with_progress(item, |progress| progress.software.clone());
-        runner.scheduler.set_software(item, software, now);
+        runner.record_output(item, now);
     }
     Ok(runner)
 }
@@ -474,7 +473,7 @@
         self.counts.record_outcome(outcome);
         let now = boot_time();
         let is_abandoned = self.scheduler.record_run_end(item, outcome, now);
-        self.scheduler.set_software(item, self.with_progress(item, |progress| progress.software.clone()), now);
+        self.record_output(item, now);
         if is_abandoned {
             self.abandon_item(item);
         } else if outcome == RunOutcome::Complete {
@@ -482,6 +481,12 @@
         }
     }
 
+    /// Tells the scheduler of the output of an item that does not run.
+    fn record_output(&mut self, item: usize, now: BootTime) {
+        let (software, events) = self.with_progress(item, |output| (output.software.clone(), output.data.len()));
+        self.scheduler.record_output(item, software, events, now);
+    }
+
     fn with_progress<T>(&self, item: usize, work: impl FnOnce(&ItemProgress) -> T) -> T {
         work(&self.progress[item].lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/src/policy/limit_share.rs
+++ b/src/policy/limit_share.rs
@@ -1,15 +1,15 @@
 //! Division of what a target takes from all hosts together: its announced rate limit, or its rate while it is cold.
 //!
 //! Failure handled: a target in need names the rate that it takes from all hosts together, and each host on its own cannot
-//! tell what the others send. Right after an outage of the store, each host sees its own row renewed before those of the
-//! others, which must not count as gone. Every host therefore computes the same division from the same list of hosts, and keeps to
+//! tell what the others send. Every host therefore computes the same division from the same list of hosts, and keeps to
 //! its own share, so that no host has to ask another before it sends. The shares of a limit sum up to the limit.
 //!
 //! - A host that runs many batch job requests of the service gets a larger share, since a few hosts own most jobs.
 //! - What cannot be divided evenly goes to some hosts, which take turns by their weights, so that each host can use a low
 //!   limit sometimes.
 //! - The hosts learn of a change at different times. A smaller share takes effect at once, a larger one after
-//!   [`SHARE_SETTLE_TIME`], when all hosts have learned of the change and what they started before no longer counts.
+//!   [`SHARE_SETTLE_TIME`], when all hosts have learned of the change and what they started before no longer counts. This
+//!   also covers the time right after an outage of the store, when a host sees its own row renewed before those of others.
 //! - A host whose row is not renewed, because the store turns it away, is soon left out by the others, which then divide
 //!   the whole limit. It keeps to half of an equal share among the hosts that it last knew, so that all hosts together
 //!   exceed the limit by half at most.
@@ -50,17 +50,18 @@
 /// Requests that `own_host` may start on a target within [`LIMIT_WINDOW`] when it takes `rate` from all `hosts` together,
 /// which must be sorted and include `own_host`. At least one request in a window is allowed over all hosts.
 ///
-/// The hosts stand on a line, each as long as its weight, on which the requests of a window are evenly spaced. A host gets the
-/// requests on its part, which are its exact share rounded up or down; the turn shifts the requests.
+/// Each host has an interval of the length of its weight, in the order of the names, and the requests of a window are evenly
+/// spaced over all intervals. A host may start those in its interval: its exact share, rounded up or down. The turn shifts the
+/// requests.
 #[must_use]
 pub fn limit_share(rate: MilliRate, target: &str, own_host: &str, hosts: &[HostWeight], turn: u64) -> u64 {
     let total = (rate.saturating_mul(LIMIT_WINDOW.as_secs()) / 1000).max(1);
     let Some(own) = hosts.iter().position(|host| host.host == own_host) else { return 0 };
     let length = |hosts: &[HostWeight]| hosts.iter().map(|host| u64::from(host.weight)).sum::<u64>();
     let whole = length(hosts).max(1);
-    // Strides of about 0.62 spread the turns over the line.
-    let stride = (whole * 5 / 8).max(1);
-    let shift = rendezvous_hash(target, "shift").wrapping_add(turn.wrapping_mul(stride)) % whole;
+    // Steps of about 0.62 of the whole length spread the turns evenly.
+    let step = (whole * 5 / 8).max(1);
+    let shift = rendezvous_hash(target, "shift").wrapping_add(turn.wrapping_mul(step)) % whole;
     let count_before = |position: u64| total.saturating_mul(position).saturating_add(shift) / whole;
     let start = length(&hosts[..own]);
     count_before(start + u64::from(hosts[own].weight)) - count_before(start)
--- a/tests/integration/jobs/plan.rs
+++ b/tests/integration/jobs/plan.rs
@@ -154,7 +154,7 @@
     let view = view(software.iter().map(|(id, software)| engine_with_software(id, software)).collect(), &["h1"], now);
     let mut scheduler = ItemScheduler::new(&spec(2, 2), 3);
     for item in 0..2 {
-        scheduler.set_software(item, Some("s1".to_owned()), at(10_000));
+        scheduler.record_output(item, Some("s1".to_owned()), 30, at(10_000));
     }
     let mut loads = LoadTable::new();
     for target in running {
@@ -190,6 +190,41 @@
     expect_that!(without_room.iter().map(|start| start.0).collect::<Vec<usize>>(), eq(&vec![2, 3]));
 }
 
+/// Guards against an item that goes on trying the last engine of its software version, which refuses it each time or is dead,
+/// although others have room: it waits for two seconds since its output last grew.
+#[gtest]
+fn failed_runs_do_not_prolong_the_wait_for_a_software_version() {
+    let view = view(vec![engine_with_software("e1", "s1"), engine_with_software("e2", "s2")], &["h1"], at(10_000));
+    let restarted_after = [RunOutcome::Refused, RunOutcome::Broken].map(|outcome| {
+        let mut scheduler = ItemScheduler::new(&spec(1, 1), 3);
+        let mut loads = LoadTable::new();
+        scheduler.record_output(0, Some("s1".to_owned()), 30, at(10_000));
+        for now in (10_000..20_000).step_by(20).map(at) {
+            let context = PlacementContext {
+                idle_connections: &IdleConnections::default(),
+                view: &view,
+                service: "models",
+                cold_rate: 11.0,
+                domain: "north",
+                clock: share_clock("h1", now),
+            };
+            let Some(start) = scheduler.start_items(&mut loads, &context).pop() else { continue };
+            if start.drops_output {
+                return now.saturating_sub(at(10_000)).as_millis();
+            }
+            loads.end("e1", true);
+            match outcome {
+                RunOutcome::Refused => loads.record_full("e1", now),
+                _ => loads.record_failure("e1", now),
+            }
+            scheduler.record_run_end(0, outcome, now);
+            scheduler.record_output(0, Some("s1".to_owned()), 30, now);
+        }
+        u128::MAX
+    });
+    expect_that!(restarted_after, each(le(2_100)));
+}
+
 /// Guards against items that never run again because the software version that began them has left or has no room.
 #[gtest]
 fn outputs_of_a_software_version_without_room_are_dropped() {
