Do not count what other hosts published as running while the store is out of reach

Cause: a new stream needs an engine with a free slot, and the rows of other hosts say how many slots they use. While the store is out of reach these counts stand still: engines that were full at its start counted as full until its end, and streams were refused.

Change: a host whose own row is not renewed counts its own requests only.

Found by reading.

--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -232,10 +232,13 @@
     software.is_none_or(|software| target.software == *software)
 }
 
-/// Whether a target has a free slot, as far as this host knows: its own requests, and those that other hosts published.
+/// Whether a target has a free slot, as far as this host knows: its own requests, and those that other hosts published. While
+/// the host is cut off from the store, what they published is outdated and does not count.
 fn has_free_slot(context: &HostContext, view: &FleetView, loads: &LoadTable, target: &TargetEntry) -> bool {
     let running = loads.get(&target.id).map_or(0, |load| load.running);
-    running + view.published_runs(&target.id, &context.settings.host) < target.slots
+    let is_outdated = context.share_clock(view).is_cut_off();
+    let published = if is_outdated { 0 } else { view.published_runs(&target.id, &context.settings.host) };
+    running + published < target.slots
 }
 
 /// Result code of a request without a response; `unsent_code` when no attempt was made.
--- a/tests/integration/relay/streams.rs
+++ b/tests/integration/relay/streams.rs
@@ -1,6 +1,7 @@
 //! Streams that callers take up: where they began, and which targets may continue them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use camphorspring::clock::boot_time;
@@ -66,6 +67,12 @@
 /// Sends a request of a stream to a host whose engines `e0` and so on have these software versions; returns the status and the
 /// version that is recorded as its origin. On the `full` engines, this host and another one use all slots.
 fn status_with(engines: &[&str], full: &[&str], stream: StreamStart) -> (u16, Option<StreamOrigin>) {
+    status_after(Duration::ZERO, engines, full, stream)
+}
+
+/// Like [`status_with`], when the store has not answered for some time.
+fn status_after(outage: Duration, engines: &[&str], full: &[&str], stream: StreamStart) -> (u16, Option<StreamOrigin>) {
+    let read_at = boot_time().saturating_sub(outage);
     let answer = || "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: s\r\ncontent-length: 2\r\n\r\nok".to_owned();
     let target = |(number, software): (usize, &&str)| TargetEntry {
         software: (*software).to_owned(),
@@ -73,7 +80,7 @@
         ..engine(&format!("e{number}"), 1)
     };
     let targets: Vec<TargetEntry> = engines.iter().enumerate().map(target).collect();
-    let mut view = view(targets, &["h1", "h2"], boot_time());
+    let mut view = view(targets, &["h1", "h2"], read_at);
     let other_runs =
         full.iter().map(|target| RunningCount { target: (*target).to_owned(), count: engine(target, 1).slots - 1 });
     let mut members = view.members.to_vec();
@@ -122,14 +129,16 @@
 }
 
 /// Guards against queues of new streams at the engines, behind which streams that are taken up wait until their callers leave:
-/// only some engines can continue these, and any engine can begin a new one.
+/// only some engines can continue these, and any engine can begin a new one. Also guards against engines that count as full for
+/// as long as the store is out of reach.
 #[gtest]
 fn new_streams_are_not_begun_on_full_engines() {
     let statuses = [
         status_with(&["s1", "s2"], &["e0"], StreamStart::Begin),
         status_with(&["s1", "s2"], &["e0", "e1"], StreamStart::Begin),
         status_with(&["s1", "s2"], &["e0", "e1"], StreamStart::Continue(origin("s1"))),
+        status_after(at(4_000), &["s1"], &["e0"], StreamStart::Begin),
     ];
-    let expected = [(200, Some(origin("s2"))), (429, None), (200, None)];
+    let expected = [(200, Some(origin("s2"))), (429, None), (200, None), (200, Some(origin("s1")))];
     expect_that!(statuses.to_vec(), eq(&expected.to_vec()));
 }
