--- a/src/fleet/member_row.rs
+++ b/src/fleet/member_row.rs
@@ -27,7 +27,7 @@
 /// Period in which a host renews its row.
 pub const MEMBER_RENEWAL: Duration = Duration::from_secs(1);
 
-/// Number of batch job requests that a host runs on one target.
+/// Number of batch job requests and resumable streams that a host runs on one target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningCount {
     /// Target that the requests are in flight on.
@@ -79,7 +79,7 @@
     pub capacity: u32,
     /// Whether a planned stop has begun, after which the host takes no new batch jobs.
     pub is_stopping: bool,
-    /// Requests of batch jobs that the host runs, sorted by target.
+    /// Requests of batch jobs and resumable streams that the host runs, sorted by target.
     pub running: Vec<RunningCount>,
     /// Requests of batch jobs that wait to be started, sorted by service.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/src/fleet/share_table.rs
+++ b/src/fleet/share_table.rs
@@ -1,8 +1,8 @@
 //! Hosts that share the announced rate limits of the targets of each service, and the demand of each host; hosts that share
 //! the rates of cold targets.
 //!
-//! A host publishes in its row the batch job requests that it runs, and those that wait to be started. Both count: a host
-//! whose jobs only wait, because its share is small, must be able to get a larger one.
+//! A host publishes in its row the batch job requests and streams that it runs, and the batch job requests that wait to be
+//! started. All count: a host whose jobs only wait, because its share is small, must be able to get a larger one.
 
 use crate::fleet::fleet_view::{FleetView, MemberEntry, TargetEntry};
 use crate::fleet::member_row::WaitingCount;
--- a/src/fleet/target_load.rs
+++ b/src/fleet/target_load.rs
@@ -159,7 +159,8 @@
         self.loads.retain(|load| load.running > 0 || view.target(&load.target).is_some());
     }
 
-    /// Records the start of a request; on a cold target it counts against the quota.
+    /// Records the start of a request; on a cold target it counts against the quota. `is_long` says whether it belongs to a batch
+    /// job or is a resumable stream, so that other hosts are told of it.
     pub fn start(&mut self, target: &str, is_long: bool, is_cold: bool, now: BootTime) {
         let load = self.entry(target);
         load.running += 1;
