Let hosts that start know the rate limits, and what they may have sent before

Engines got the share of the host that is killed twice over: before the kill, and 12, a whole set of slots, right after its start.

Cause: only the first host by name publishes a limit. When this host starts again it ignores its own old row and overwrites it, so that it does not know the limit until its first response, and it forgets what it started before.

Change: two hosts publish each limit, a host reads its own old row as well, and it has no share of a limit for the first 4 s.

New tests: two hosts publish each limit, a host has no share in its first 4 s. Two older tests read shares 4 or 5 s later than before, with the same values.

--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -197,10 +197,11 @@
     tokio::join!(operators, targets, members, jobs, lease, renew_member(context, store));
 }
 
-/// Takes over the rate limits of targets that other hosts publish, and records the hosts that share them.
+/// Takes over the rate limits of targets that the hosts publish, and records the hosts that share them.
 fn adopt_limits(context: &HostContext, view: &FleetView) {
-    let others = view.live_members().filter(|member| member.host != context.settings.host);
-    let notices = others.flat_map(|member| member.row.limits.iter().map(move |notice| (&member.host, notice)));
+    // The row of this host counts as well: it may be from before its last start.
+    let notices =
+        view.live_members().flat_map(|member| member.row.limits.iter().map(move |notice| (&member.host, notice)));
     for (host, notice) in notices {
         if context.with_loads(|loads| loads.limits.merge(notice.clone())) {
             log::info!(target = notice.target, milli_rate:? = notice.rate, from = host; "target_limit_changed");
--- a/src/fleet/target_limit.rs
+++ b/src/fleet/target_limit.rs
@@ -16,6 +16,9 @@
 /// takes about two seconds to reach all hosts, and an entry may be missing for as long after a store outage.
 const NOTICE_RETENTION: Duration = Duration::from_secs(20);
 
+/// Number of hosts that publish a notice, so that one which starts again finds it in the row of another.
+const PUBLISHER_COUNT: usize = 2;
+
 /// Age from which on a limit may have ended unnoticed, because no request was sent. The target is then chosen like the
 /// others again, within its limit, so that a response shows whether the limit still holds.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(5);
@@ -92,7 +95,8 @@
         });
     }
 
-    /// Notices that the host must publish: those that no host whose name sorts before its own publishes already.
+    /// Notices that the host must publish: those that fewer than [`PUBLISHER_COUNT`] hosts whose names sort before its own
+    /// publish already.
     #[must_use]
     pub fn notices_to_publish(&self, view: &FleetView, own_host: &str) -> Vec<LimitNotice> {
         let earlier: Vec<&LimitNotice> = view
@@ -101,7 +105,8 @@
             .flat_map(|member| &member.row.limits)
             .collect();
         let is_published = |notice: &LimitNotice| {
-            earlier.iter().any(|known| known.target == notice.target && known.rate == notice.rate)
+            let same = earlier.iter().filter(|known| known.target == notice.target && known.rate == notice.rate);
+            same.count() >= PUBLISHER_COUNT
         };
         self.notices.iter().filter(|notice| !is_published(notice)).cloned().collect()
     }
--- a/src/policy/limit_share.rs
+++ b/src/policy/limit_share.rs
@@ -10,6 +10,7 @@
 //! - The hosts learn of a change at different times. A smaller share takes effect at once, a larger one after
 //!   [`SHARE_SETTLE_TIME`], when all hosts have learned of the change and what they started before no longer counts. This
 //!   also covers the time right after an outage of the store, when a host sees its own row renewed before those of others.
+//! - A host that starts does not know what it sent before, so it has no share for [`LIMIT_WINDOW`].
 //! - A host whose row is not renewed, because the store turns it away, is soon left out by the others, which then divide
 //!   the whole limit. It keeps to half of an equal share among the hosts that it last knew, so that all hosts together
 //!   exceed the limit by half at most.
@@ -100,6 +101,8 @@
 pub struct HostHistory {
     /// In the order of time.
     observations: Vec<TimedHosts>,
+    /// Time of the first record, soon after the start of the host.
+    started_at: BootTime,
 }
 
 impl HostHistory {
@@ -111,6 +114,9 @@
 
     /// Records the hosts as known at `now`, sorted by name.
     pub fn record(&mut self, hosts: Vec<HostWeight>, now: BootTime) {
+        if self.is_empty() {
+            self.started_at = now;
+        }
         if self.observations.last().is_none_or(|last| last.hosts != hosts) {
             self.observations.push(TimedHosts { since: now, hosts });
         }
@@ -130,9 +136,12 @@
     }
 
     /// Requests that `clock.host` may start on a target within [`LIMIT_WINDOW`]: the smallest share of the last
-    /// [`SHARE_SETTLE_TIME`]. 0 until hosts were recorded.
+    /// [`SHARE_SETTLE_TIME`]. 0 until hosts have been recorded for [`LIMIT_WINDOW`].
     #[must_use]
     pub fn share(&self, rate: MilliRate, target: &str, clock: &ShareClock<'_>) -> u64 {
+        if clock.now.saturating_sub(self.started_at) < LIMIT_WINDOW {
+            return 0;
+        }
         let turns = [turn_at(clock.store_time), turn_at(clock.store_time.saturating_sub(SHARE_SETTLE_TIME))];
         let shares = self.recent(clock.now).iter().flat_map(|observation| {
             turns.map(|turn| {
--- a/tests/integration/fleet/limits.rs
+++ b/tests/integration/fleet/limits.rs
@@ -48,12 +48,12 @@
     loads.limits.merge(notice("e1", Some(5_000), 1_000));
     loads.shares.record_hosts(&view(vec![engine("e1", 1)], &["h1"], at(1_000)), "h1", at(1_000));
     let allowance = |loads: &mut LoadTable, now| loads.limit_allowance(&engine("e1", 1), &share_clock("h1", at(now)));
-    let before = allowance(&mut loads, 1_000);
-    loads.start("e1", true, false, at(1_100));
+    let before = allowance(&mut loads, 6_000);
+    loads.start("e1", true, false, at(6_100));
     loads.end("e1", true);
-    loads.record_arrival("e1", at(1_200));
-    let counted = allowance(&mut loads, 1_300);
-    expect_that!([before, counted, allowance(&mut loads, 5_300)], eq([Some(20), Some(18), Some(20)]));
+    loads.record_arrival("e1", at(6_200));
+    let counted = allowance(&mut loads, 6_300);
+    expect_that!([before, counted, allowance(&mut loads, 10_300)], eq([Some(20), Some(18), Some(20)]));
 }
 
 /// Guards against an earlier notice that arrives late and brings back a limit that has ended.
@@ -82,6 +82,23 @@
     expect_that!(known, eq([Some(2_000), Some(2_000), None]));
 }
 
+/// Guards against a host that starts again and knows no limit, because it alone had published it.
+#[gtest]
+fn two_hosts_publish_each_limit() {
+    let mut limits = LoadTable::new().limits;
+    limits.merge(notice("e1", Some(2_000), 10_000));
+    let publishes = |count: usize| {
+        let mut view = view(Vec::new(), &["h1", "h2", "h3"], at(10_000));
+        let mut members: Vec<MemberEntry> = view.members.to_vec();
+        for member in &mut members[..count] {
+            member.row.limits = vec![notice("e1", Some(2_000), 9_000)];
+        }
+        view.members = members.into();
+        limits.notices_to_publish(&view, "h3").len()
+    };
+    expect_that!([publishes(0), publishes(1), publishes(2)], eq([1, 1, 0]));
+}
+
 /// Guards against a target that is left out for good because nobody sends it the request that would show that its limit
 /// has ended.
 #[gtest]
--- a/tests/integration/policy/limit_shares.rs
+++ b/tests/integration/policy/limit_shares.rs
@@ -78,11 +78,11 @@
     let mut history = HostHistory::default();
     let share = |history: &HostHistory, now| history.share(10_000, "e1", &share_clock("h00", at(now)));
     history.record(hosts(&[1, 1, 1, 1]), at(0));
-    let mut shares = vec![share(&history, 1_000)];
-    history.record(hosts(&[1]), at(2_000));
-    shares.extend([2_000, 7_900, 8_100].map(|now| share(&history, now)));
-    history.record(hosts(&[1, 1]), at(10_000));
-    shares.push(share(&history, 10_000));
+    let mut shares = vec![share(&history, 5_000)];
+    history.record(hosts(&[1]), at(6_000));
+    shares.extend([6_000, 11_900, 12_100].map(|now| share(&history, now)));
+    history.record(hosts(&[1, 1]), at(14_000));
+    shares.push(share(&history, 14_000));
     expect_that!(SHARE_SETTLE_TIME, eq(at(6_000)));
     expect_that!(shares, eq(&vec![10, 10, 10, 40, 20]));
 }
@@ -106,3 +106,12 @@
     clock.renewed_at = at(1_000);
     expect_that!((connected, history.share(10_000, "e1", &clock)), eq((37, 5)));
 }
+
+/// Guards against a host that is killed and starts again within a window, and uses its share of a limit twice.
+#[gtest]
+fn host_that_starts_has_no_share_for_a_window() {
+    let mut history = HostHistory::default();
+    history.record(hosts(&[1, 1]), at(10_000));
+    let shares = [10_000, 13_900, 14_000].map(|now| history.share(10_000, "e1", &share_clock("h00", at(now))));
+    expect_that!(shares, eq([0, 0, 20]));
+}
