Check outputs of items by the software version in their texts

The text is from one version; the check took the last beginning of an item for the one in use.

Change: the events of the stand-in name the software that generated them, and the text of each result must be from one version; this sees every joined text. At the engines, an item may go on at a version at which one of its runs began. Streams of callers begin once and are checked as before.

--- a/tests/soak/crashes.rs
+++ b/tests/soak/crashes.rs
@@ -52,7 +52,7 @@
     }
     texts.sort();
     let whole_text = |id: &str| -> String {
-        (1..=ITEM_EVENTS).map(|event| format_event_data(id, event)).collect::<Vec<String>>().join("\n")
+        (1..=ITEM_EVENTS).map(|event| format_event_data(id, event, "1")).collect::<Vec<String>>().join("\n")
     };
     let mut expected: Vec<(String, String)> = items.iter().map(|(id, _)| (id.clone(), whole_text(id))).collect();
     expected.sort();
--- a/tests/soak/load.rs
+++ b/tests/soak/load.rs
@@ -16,7 +16,7 @@
     DEADLINE_HEADER, REQUEST_ID_HEADER, ReadResult, STAMP_HEADER, WAIT_HEADER, decode_page, encode_job,
     format_grading_id, format_job_path, format_results_path,
 };
-use crate::stand_ins::target::{format_event_data, format_plain_body, format_stamp};
+use crate::stand_ins::target::{format_plain_body, format_stamp, is_whole_output};
 
 /// Delay of a client between two requests.
 const CLIENT_DELAY: Duration = Duration::from_millis(20);
@@ -214,9 +214,8 @@
     if earlier.iter().any(|earlier| earlier.item == *id) {
         load.outcome_log.record_violation(format!("{job} lists {id} twice"));
     }
-    let expected_lines: Vec<String> = (1..=*events).map(|event| format_event_data(id, event)).collect();
     let has_score = result.score == format_stamp(&format_grading_id(id));
-    if !result.is_completed || result.text != expected_lines.join("\n") || !has_score {
+    if !result.is_completed || !is_whole_output(id, *events, &result.text) || !has_score {
         load.outcome_log.record_violation(format!(
             "{job} lists {id} with {} bytes, completed: {}, score {:?}",
             result.text.len(),
--- a/tests/soak/software.rs
+++ b/tests/soak/software.rs
@@ -8,6 +8,7 @@
 use crate::installation::{CALLER_HOST, HOST_COUNT, START_TIMEOUT, SoakInstallation, SoakTarget};
 use crate::load::send_request;
 use crate::stand_ins::callers::{REQUEST_ID_HEADER, WAIT_HEADER, decode_page, encode_job, format_results_path};
+use crate::stand_ins::target::is_whole_output;
 
 /// Engines of the installation.
 pub fn engines(installation: &SoakInstallation) -> Vec<&SoakTarget> {
@@ -35,11 +36,12 @@
 #[gtest]
 fn items_go_on_at_the_version_that_began_them() {
     const ITEM_COUNT: usize = 24;
+    const ITEM_EVENTS: u64 = 700;
     const JOB_TIMEOUT: Duration = Duration::from_secs(40);
     let installation = SoakInstallation::start(1_103);
     assert!(installation.wait_until_hosts_known(0, START_TIMEOUT), "the first host does not learn of the others");
     let agent = http_agent(Duration::from_millis(500), Duration::from_secs(3));
-    let items: Vec<(String, u64)> = (0..ITEM_COUNT).map(|item| (format!("kept-{item}"), 700)).collect();
+    let items: Vec<(String, u64)> = (0..ITEM_COUNT).map(|item| (format!("kept-{item}"), ITEM_EVENTS)).collect();
     let url = format!("{}/batch/", installation.caller_url(0));
     let body = encode_job(CALLER_HOST, &items);
     let response = send_request(&agent, "POST", &url, &[(REQUEST_ID_HEADER, "kept")], Some(&body));
@@ -52,13 +54,14 @@
     engines(&installation)[1].standin.release("2");
     engines(&installation)[2].standin.release("3");
     let started_at = Instant::now();
-    let mut count = 0;
-    while count < ITEM_COUNT && started_at.elapsed() < JOB_TIMEOUT {
-        let url = format!("{}{}", installation.caller_url(1), format_results_path("kept", count));
+    let mut outputs: Vec<bool> = Vec::new();
+    while outputs.len() < ITEM_COUNT && started_at.elapsed() < JOB_TIMEOUT {
+        let url = format!("{}{}", installation.caller_url(1), format_results_path("kept", outputs.len()));
         let page = send_request(&agent, "GET", &url, &[(WAIT_HEADER, "500")], None);
         let page = page.filter(|response| response.status == 200).and_then(|response| decode_page(&response.body));
-        count += page.map_or(0, |(_, results)| results.len());
+        let results = page.map_or_else(Vec::new, |(_, results)| results);
+        outputs.extend(results.iter().map(|result| is_whole_output(&result.item, ITEM_EVENTS, &result.text)));
     }
     check_streams(&installation);
-    expect_that!(count, eq(ITEM_COUNT));
+    expect_that!(outputs, eq(&vec![true; ITEM_COUNT]));
 }
