--- a/src/fleet/target_limit.rs
+++ b/src/fleet/target_limit.rs
@@ -95,7 +95,7 @@
         });
     }
 
-    /// Notices that the host must publish: those that fewer than [`PUBLISHER_COUNT`] hosts whose names sort before its own
+    /// Notices that the host must publish: those that fewer than two hosts whose names sort before its own
     /// publish already.
     #[must_use]
     pub fn notices_to_publish(&self, view: &FleetView, own_host: &str) -> Vec<LimitNotice> {
