Say plainly in four comments what they describe

Comments only: the age of a limit, when a notice is published, the code of a request without a target, the start of an item's wait.

--- a/src/fleet/target_limit.rs
+++ b/src/fleet/target_limit.rs
@@ -19,8 +19,8 @@
 /// Number of hosts that publish a notice, so that one which starts again finds it in the row of another.
 const PUBLISHER_COUNT: usize = 2;
 
-/// Age from which on a limit may have ended unnoticed, because no request was sent. The target is then chosen like the
-/// others again, within its limit, so that a response shows whether the limit still holds.
+/// Age of the last response from which on a limit may have ended. The target is then chosen like the others again, within its
+/// limit, so that a response shows whether the limit still holds.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(5);
 
 /// What a host knows of the rate limit of a target.
@@ -95,8 +95,7 @@
         });
     }
 
-    /// Notices that the host must publish: those that fewer than two hosts whose names sort before its own
-    /// publish already.
+    /// Notices that the host must publish: those that fewer than two hosts whose names sort before its own publish already.
     #[must_use]
     pub fn notices_to_publish(&self, view: &FleetView, own_host: &str) -> Vec<LimitNotice> {
         let earlier: Vec<&LimitNotice> = view
--- a/src/jobs/item_scheduler.rs
+++ b/src/jobs/item_scheduler.rs
@@ -116,7 +116,7 @@
     software: Option<SoftwareVersion>,
     /// Number of events of the output.
     events: usize,
-    /// When the output last grew, or the last run that an engine accepted ended.
+    /// When the output last grew, or a run last stalled; the item waits for an engine of its software version from then on.
     bound_since: BootTime,
 }
 
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -205,7 +205,7 @@
     }
 }
 
-/// Why no target of the service could be chosen.
+/// Result code of a request for which no target of the service can be used now.
 fn unsent_code(
     context: &HostContext,
     stream: &StreamStart,
