Hold requests back under which three targets crashed, at all hosts

Seen by callers: a request that crashes the targets that run it was sent on at each repeat; 41 to 52 targets ended under 44 submissions at three hosts, 27 to 34 of them later than 3 s after the third, where three are allowed. Sound requests on the same path were served 0 to 27 of 44 times.

Cause: hosts of an installation remembered no crash, and what one host saw no other knew. Class: a host acts alone on what only all hosts together know.

Change: a broken connection under an unanswered request is a row that all hosts follow; entries of targets tell a crash from a reset link, and one answer clears a request. From three reports on it is refused with 429, code 1209; one host at a time tries it again.

--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -18,6 +18,7 @@
 use crate::jobs::job_record::{JOB_TABLE, job_partitions};
 use crate::policy::shard_map::rendezvous_hash;
 use crate::prelude::*;
+use crate::relay::crash_reports::report_partitions;
 use crate::row_store::store_relay::{SharedStoreRouter, with_store_router};
 use crate::row_store::table_watch::{FeedPacer, WatchEvent, WatchRule, watch_table};
 use crate::row_store::{PartitionTransaction, RowContent, RowStore};
@@ -142,6 +143,7 @@
         move |event| {
             let now = boot_time();
             outage_log.record_event(&event, now);
+            target_context.crashes.observe_targets(&event, tables.decode_target, now);
             let is_changed =
                 target_publisher.apply_change(|state| state.apply_targets(&event, tables.decode_target, now));
             if is_changed {
@@ -184,13 +186,20 @@
         },
     );
     let mut outage_log = FeedOutageLog::new(DUTY_TABLE);
+    let duty_context = Arc::clone(&context);
     let lease = watch_table(
         Arc::clone(&store),
-        build_watch_rule(DUTY_TABLE, single_partition(), Duration::ZERO),
+        build_watch_rule(
+            DUTY_TABLE,
+            single_partition().into_iter().chain(report_partitions()).collect(),
+            Duration::ZERO,
+        ),
         pacer,
         move |event| {
             let now = boot_time();
             outage_log.record_event(&event, now);
+            let store_ms = (duty_context.store.store_time)().map_or(0, whole_millis);
+            duty_context.crashes.apply_event(&event, store_ms, now);
             leader_tasks.apply_duties(&event, now);
         },
     );
--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -16,6 +16,7 @@
 use crate::prelude::*;
 use crate::relay::caller_codec::CallerCodec;
 use crate::relay::connection_pool::ConnectionPool;
+use crate::relay::crash_reports::CrashReports;
 use crate::relay::stream_origins::StreamOrigins;
 use crate::relay::target_codec::{TargetCodec, TargetHead};
 use crate::row_store::RowStore;
@@ -42,6 +43,8 @@
     pub usage: UsageCounter,
     /// Origins of the streams that began at this host.
     pub stream_origins: StreamOrigins,
+    /// Requests under which targets crash, as all hosts report them.
+    pub crashes: CrashReports,
     /// Metrics, served at the metrics address if the settings have one.
     pub metrics: HostMetrics,
     /// Wire format between hosts and targets.
--- a/src/entry/host_metrics.rs
+++ b/src/entry/host_metrics.rs
@@ -31,6 +31,9 @@
     pub takeovers: IntCounter,
     /// Streams that callers took up, by what was known of their origin.
     pub resumed_streams: IntCounterVec,
+    /// Connections that broke under an unanswered request: reports made, and how they were settled.
+    pub crash_reports: IntCounterVec,
+    held_requests: IntGauge,
     configuration_version: IntGauge,
     configuration_age: Gauge,
     target_age: Gauge,
@@ -106,6 +109,20 @@
                     &["origin"],
                 )?,
             ),
+            crash_reports: register(
+                &registry,
+                IntCounterVec::new(
+                    build_options(
+                        "crash_reports_total",
+                        "Connections that broke under an unanswered request, by what became of the report",
+                    ),
+                    &["outcome"],
+                )?,
+            ),
+            held_requests: register(
+                &registry,
+                int_gauge("held_requests", "Requests held back because targets crashed under them")?,
+            ),
             configuration_version: register(
                 &registry,
                 int_gauge("configuration_version", "Version of the configuration in force")?,
@@ -155,6 +172,7 @@
         self.open_jobs.set(count_to_gauge(context.board.open_jobs().len()));
         let running: u32 = context.with_loads(|loads| loads.loads().iter().map(|load| load.running).sum());
         self.running_requests.set(i64::from(running));
+        self.held_requests.set(count_to_gauge(context.crashes.held_requests()));
         self.limited_targets.set(count_to_gauge(context.with_loads(|loads| loads.limits.limited_targets())));
         self.connections_opened.set(i64::try_from(context.pool.opened()).unwrap_or(i64::MAX));
         self.requests_on_reused_connections.set(i64::try_from(context.pool.reused()).unwrap_or(i64::MAX));
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -29,6 +29,7 @@
 use crate::relay::caller_codec::CallerCodec;
 use crate::relay::caller_server::{ServerPhase, serve_callers, serve_status};
 use crate::relay::connection_pool::ConnectionPool;
+use crate::relay::crash_reports::{CrashReports, store_crash_reports};
 use crate::relay::reply::ResponseBody;
 use crate::relay::stream_origins::{StreamOrigins, store_origins};
 use crate::relay::target_codec::TargetCodec;
@@ -102,6 +103,7 @@
         board: JobCache::new(),
         usage: UsageCounter::new(Duration::from_secs_f64(dependencies.settings.usage_window_seconds)),
         stream_origins: StreamOrigins::default(),
+        crashes: CrashReports::default(),
         metrics: HostMetrics::new().map_err(std::io::Error::other)?,
         target_codec: dependencies.target_codec,
         caller_codec: dependencies.caller_codec,
@@ -137,6 +139,7 @@
                 Arc::clone(&leader_tasks).run_target_scaling(),
                 Arc::clone(&leader_tasks).run_job_removal(),
                 Arc::clone(&leader_tasks).run_stream_removal(),
+                Arc::clone(&leader_tasks).run_report_removal(),
             );
         });
     })?;
@@ -183,6 +186,7 @@
     let caller_server = tokio::spawn(serve_callers(Arc::clone(&context), listener, handler, phase_receiver));
     let job_task = tokio::spawn(run_job_takeover(Arc::clone(&context)));
     tokio::spawn(store_origins(Arc::clone(&context)));
+    tokio::spawn(store_crash_reports(Arc::clone(&context)));
     log::info!(
         incarnation = context.incarnation, domain = context.settings.failure_domain,
         address = context.settings.caller_address;
--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -1,5 +1,7 @@
 //! Admits the requests of callers, and dispatches each to a target or to the batch job calls.
 
+use std::sync::OnceLock;
+
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
@@ -162,8 +164,15 @@
         organisation,
         body,
     };
-    let admitted_request =
-        RelayRequest { request, route, stream, view: context.view(), arrived_at, patience: head.deadline };
+    let admitted_request = RelayRequest {
+        request,
+        route,
+        stream,
+        view: context.view(),
+        arrived_at,
+        patience: head.deadline,
+        fingerprint: OnceLock::new(),
+    };
     Ok(relay_request(context, admitted_request).await)
 }
 
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,6 +7,7 @@
 pub mod caller_codec;
 pub mod caller_server;
 pub mod connection_pool;
+pub mod crash_reports;
 pub mod event_reader;
 pub mod plain_relay;
 pub mod reply;
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -3,6 +3,7 @@
 //! A result code that means "not run" is only returned when no target can have run the request. Small responses are
 //! read whole before they are forwarded, so that another attempt can replace a response that breaks off.
 
+use std::sync::OnceLock;
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
@@ -21,10 +22,13 @@
 use crate::prelude::*;
 use crate::relay::attempt_plan::{ChoiceContext, choose_target, hedge_delay};
 use crate::relay::connection_pool::{Exchange, ExchangeError, PooledConnection};
+use crate::relay::crash_reports::{admit_request, report_break};
 use crate::relay::event_reader::EventReader;
 use crate::relay::reply::{BodyError, ResponseBody, code_reply, whole_body};
 use crate::relay::stream_origins::StreamOrigin;
 use crate::relay::target_codec::{SendOptions, TargetHead, TargetRequest};
+use crate::traffic::crash_quarantine::fingerprint_of;
+use crate::traffic::quarantine::Fingerprint;
 
 /// Size up to which a response body is read whole before it is forwarded; a larger one is streamed.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
@@ -74,6 +78,10 @@
     may_have_run: bool,
     /// Target of the last attempt; empty before the first one.
     last_target: TargetId,
+    /// Time until the next trial, when the request is held back because targets crashed under it.
+    held_for: Option<Duration>,
+    /// Whether the next attempt is the trial of a request that is held back.
+    has_trial: bool,
 }
 
 /// Where the events of a response begin.
@@ -103,6 +111,20 @@
     pub arrived_at: BootTime,
     /// Time that the caller waits for the response; `None` when the caller named none.
     pub patience: Option<Duration>,
+    /// Computed on first use by [`Self::fingerprint`].
+    pub fingerprint: OnceLock<Fingerprint>,
+}
+
+impl RelayRequest<'_> {
+    /// Fingerprint of the request, which is the same each time that its caller sends it.
+    fn fingerprint(&self) -> &Fingerprint {
+        let request = &self.request;
+        let caller = request.organisation.as_deref().unwrap_or_default();
+        self.fingerprint.get_or_init(|| {
+            let fields = [caller, request.method.as_str(), &request.path].map(str::as_bytes);
+            fingerprint_of(&request.host, &[fields[0], fields[1], fields[2], &request.body])
+        })
+    }
 }
 
 /// Forwards a request, with further attempts as the route allows, and returns the response for the caller.
@@ -114,6 +136,7 @@
     let result = tokio::time::timeout(time_left, run_attempts(context, &relay, deadline, &mut trace)).await;
     let response = match result {
         Ok(Ok(response)) => response,
+        Ok(Err(ResultCode::RequestHeld)) => code_reply(ResultCode::RequestHeld, trace.held_for),
         Ok(Err(code)) => {
             let needs_target = matches!(code, ResultCode::NoTarget | ResultCode::StreamNotResumable);
             code_reply(code, Some(if needs_target { NO_TARGET_RETRY_AFTER } else { BUSY_RETRY_AFTER }))
@@ -128,7 +151,7 @@
         log::info!(
             request = relay.request.request_id, route = relay.route.name, status = status, tries = trace.attempts,
             refusals = trace.refusals, target = trace.last_target, may_have_run = trace.may_have_run,
-            elapsed_ms = elapsed_ms, patience_ms = whole_millis(timeout),
+            elapsed_ms = elapsed_ms, held_ms:? = trace.held_for.map(whole_millis), patience_ms = whole_millis(timeout),
             config_age_ms = whole_millis(now.saturating_sub(relay.view.services_read_at)),
             targets_age_ms = whole_millis(now.saturating_sub(relay.view.targets_read_at));
             "request_ended"
@@ -157,10 +180,18 @@
     let mut running_attempts = FuturesUnordered::new();
     let mut error_response = None;
     loop {
-        let may_start = trace.attempts < relay.route.attempts.max(1)
+        let mut may_start = trace.attempts < relay.route.attempts.max(1)
             && (running_attempts.is_empty() || is_repeatable)
             && (is_repeatable || !trace.may_have_run)
             && trace.refusals < MAX_REFUSALS;
+        if trace.has_trial {
+            may_start &= running_attempts.is_empty();
+        } else if may_start && !context.crashes.is_empty() {
+            match admit_request(context, relay.fingerprint()).await {
+                Ok(is_trial) => trace.has_trial = is_trial,
+                Err(delay) => (trace.held_for, may_start) = (Some(delay), false),
+            }
+        }
         let mut hedge_after = None;
         let next =
             if may_start { acquire_target(context, service, relay, &attempted, software.as_ref()) } else { None };
@@ -191,8 +222,9 @@
             None => Some(running_attempts.next().await),
         };
         match outcome {
-            // The response is overdue or lost; the loop starts another attempt if the route allows one.
-            None | Some(Some(AttemptOutcome::Lost)) => {}
+            // The response is overdue; the loop starts another attempt if the route allows one.
+            None => {}
+            Some(Some(AttemptOutcome::Lost)) => trace.has_trial = false,
             Some(None) => return Err(final_code(trace, ResultCode::NoTarget)),
             Some(Some(AttemptOutcome::Answered(response))) => return Ok(response),
             Some(Some(AttemptOutcome::TargetFailed(response))) => error_response = Some(response),
@@ -245,6 +277,8 @@
 fn final_code(trace: &RelayTrace, unsent_code: ResultCode) -> ResultCode {
     if trace.may_have_run {
         ResultCode::TargetFailed
+    } else if trace.held_for.is_some() {
+        ResultCode::RequestHeld
     } else if trace.refusals > 0 {
         ResultCode::HostBusy
     } else {
@@ -323,6 +357,9 @@
         Ok(exchange) => exchange,
         Err(error) => {
             record_target_failure(context, relay, &target, error);
+            if error == ExchangeError::Broken {
+                report_break(context, relay.fingerprint(), &target);
+            }
             return if error == ExchangeError::NotConnected { AttemptOutcome::NotRun } else { AttemptOutcome::Lost };
         }
     };
@@ -387,11 +424,13 @@
                 context.pool.give_back(connection, target_head.idle_limit);
                 let pace = started.elapsed().as_secs_f64();
                 context.with_loads(|loads| loads.record_success(&target.id, Some(pace)));
+                record_answer(context, relay);
                 return buffered_outcome(head, buffer.freeze());
             }
             Some(Ok(frame)) => buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
             Some(Err(_)) => {
                 record_target_failure(context, relay, target, ExchangeError::Broken);
+                report_break(context, relay.fingerprint(), target);
                 return AttemptOutcome::Lost;
             }
         }
@@ -400,6 +439,8 @@
     let pause_limit = (relay.route.objective * STREAM_PAUSE_OBJECTIVES).max(MIN_STREAM_PAUSE);
     let streamed = StreamedResponse {
         request_id: relay.request.request_id.clone(),
+        fingerprint: relay.fingerprint().clone(),
+        target: target.clone(),
         events: is_stream.then(EventReader::new),
         pause_limit,
         stalls_at: tokio::time::Instant::now() + pause_limit,
@@ -428,6 +469,8 @@
     body: Incoming,
     /// Id of the request, for the log.
     request_id: RequestId,
+    fingerprint: Fingerprint,
+    target: TargetEntry,
     /// Finds the events of an event stream; `None` when any data counts as progress.
     events: Option<EventReader>,
     /// Time without progress after which the response breaks off.
@@ -447,7 +490,10 @@
             }
             Some((Ok(frame), streamed))
         }
-        Ok(Some(Err(error))) => Some((Err(error.into()), streamed)),
+        Ok(Some(Err(error))) => {
+            report_break(&streamed.context, &streamed.fingerprint, &streamed.target);
+            Some((Err(error.into()), streamed))
+        }
         Err(_) => {
             log::info!(request = streamed.request_id, pause_ms = whole_millis(streamed.pause_limit); "response_stalled");
             Some((Err("the target stalled".into()), streamed))
@@ -455,6 +501,7 @@
         Ok(None) => {
             if let Some(connection) = streamed.connection.take() {
                 streamed.context.pool.give_back(connection, streamed.idle_limit);
+                streamed.context.crashes.record_answer(&streamed.fingerprint);
             }
             None
         }
@@ -500,6 +547,13 @@
     !head.status.is_success() || (target_head.stamp.is_some() && !is_encoded)
 }
 
+/// Records that a target answered the request, which therefore does not crash targets.
+fn record_answer(context: &HostContext, relay: &RelayRequest<'_>) {
+    if !context.crashes.is_empty() {
+        context.crashes.record_answer(relay.fingerprint());
+    }
+}
+
 fn record_target_failure(
     context: &Arc<HostContext>,
     relay: &RelayRequest<'_>,
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -69,6 +69,8 @@
     RateLimited,
     /// No target of the software version that began a stream takes requests, or the version is not known.
     StreamNotResumable,
+    /// Several targets crashed or broke the connection under this request, and none has answered it since.
+    RequestHeld,
     /// The change expects another configuration version than the one in force, or a newer weight release exists.
     ConfigurationConflict,
     /// The services text has errors.
@@ -113,7 +115,7 @@
 }
 
 /// All result codes in ascending order of their numbers; [`ResultCode::from_number`] depends on the order.
-pub const ALL_CODES: [ResultCode; 39] = [
+pub const ALL_CODES: [ResultCode; 40] = [
     ResultCode::Done,
     ResultCode::BadRequest,
     ResultCode::TooLarge,
@@ -133,6 +135,7 @@
     ResultCode::DependencyDown,
     ResultCode::RateLimited,
     ResultCode::StreamNotResumable,
+    ResultCode::RequestHeld,
     ResultCode::ConfigurationConflict,
     ResultCode::TextInvalid,
     ResultCode::Unconfirmed,
@@ -209,6 +212,7 @@
             Self::DependencyDown => new_entry(1206, "dependency_down", 503, 14, NotRun, "a service that this one depends on is unavailable"),
             Self::RateLimited => new_entry(1207, "rate_limited", 503, 14, NotRun, "the targets take no more requests at present"),
             Self::StreamNotResumable => new_entry(1208, "stream_not_resumable", 503, 14, NotRun, "no target can continue this stream"),
+            Self::RequestHeld => new_entry(1209, "request_held", 429, 14, NotRun, "targets crashed under this request, so it is held back"),
             Self::ConfigurationConflict => new_entry(1301, "configuration_conflict", 409, 20, NotRun, "the configuration changed in between"),
             Self::TextInvalid => new_entry(1302, "text_invalid", 422, 21, NotRun, "the services text has errors"),
             Self::Unconfirmed => new_entry(1303, "unconfirmed", 202, 22, Ran, "in force, and not yet confirmed by all failure domains"),
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -91,6 +91,7 @@
         loads: Mutex::new(LoadTable::new()),
         board: JobCache::new(),
         usage: UsageCounter::new(at(5000)),
+        crashes: camphorspring::relay::crash_reports::CrashReports::default(),
         stream_origins: StreamOrigins::default(),
         metrics: HostMetrics::new().expect("the names are valid"),
         target_codec: TARGET_CODEC,
--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -77,6 +77,7 @@
         view: context.view(),
         arrived_at: boot_time(),
         patience: None,
+        fingerprint: std::sync::OnceLock::new(),
     };
     relay_request(context, relay).await
 }
--- a/tests/integration/relay/streams.rs
+++ b/tests/integration/relay/streams.rs
@@ -109,6 +109,7 @@
         view: context.view(),
         arrived_at: boot_time(),
         patience: Some(at(2_000)),
+        fingerprint: std::sync::OnceLock::new(),
     };
     let status = run(relay_request(&context, relay)).status().as_u16();
     (status, context.stream_origins.find("r1"))
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,7 @@
 //! replaced by another version of their software.
 
 mod crashes;
+mod crashing_requests;
 mod fault_plan;
 mod installation;
 mod limits;
