Send requests to targets through other hosts while the links to them are cut

Cause: a host sent to targets over its own links or not at all. Class: a host acts alone on what all hosts together can reach.

Change: relay::target_links tells a cut from a failed target; relay::target_relay sends through one peer and passes requests of peers on, for requests, streams, items and gradings alike. Cut hosts own no new jobs, and a cut leader releases its lease.

Evidence: links::hosts_without_links_to_targets_serve_their_callers failed before (0 of 480 and 6 of 36 first tries served, now all), and so did jobs_of_hosts_without_links_to_targets_go_on.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -89,6 +89,10 @@
 /// Timeout for opening a connection to a target, the platform or another host.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Timeout for opening a connection to a target in an installation. An answer takes one round trip of a few milliseconds; an
+/// opening packet that was lost is sent again after a second, when most callers have left.
+pub const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Timeout of a call to the platform, including the connection.
 pub const PLATFORM_CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/src/duties/leader_tasks.rs
+++ b/src/duties/leader_tasks.rs
@@ -126,6 +126,11 @@
                 self.release().await;
                 return;
             }
+            if self.context.links.should_hand_over(&self.context.view(), &self.context.settings.host) {
+                // Orders to engines are not passed on: another host would be their sender.
+                self.release().await;
+                continue;
+            }
             let due = lock(&self.lease).begin_due_write(now, self.store_ms());
             let Some(write) = due else { continue };
             let result = self.write_lease(&write).await;
@@ -163,7 +168,7 @@
     }
 
     async fn release(&self) {
-        // No call begins while the host stops; those in flight end within their timeout.
+        // No call begins while the host stops or hands over; those in flight end within their timeout.
         while self.calls_in_flight.load(std::sync::atomic::Ordering::Acquire) > 0 {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
@@ -178,7 +183,8 @@
     /// it is dropped. `None` while this host may not act or stops.
     fn begin_call(self: &Arc<Self>) -> Option<(LeaseEpoch, CallGuard)> {
         let guard = CallGuard::new(self);
-        if self.context.is_stopping() {
+        let view = self.context.view();
+        if self.context.is_stopping() || self.context.links.should_hand_over(&view, &self.context.settings.host) {
             return None;
         }
         self.fence().map(|fence| (fence, guard))
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,5 +8,6 @@
 pub mod host_context;
 pub mod host_metrics;
 pub mod host_start;
+pub mod peer_server;
 pub mod request_entry;
 pub mod settings;
--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -260,6 +260,7 @@
             domain: context.settings.failure_domain.clone(),
             beat,
             peer_address: context.settings.peer_address.clone(),
+            forwards_requests: forwards_requests(&context),
             capacity: host_capacity(context.settings.processor_cores, context.settings.link_megabits),
             is_stopping: context.is_stopping(),
             running: context.with_loads(|loads| {
@@ -279,16 +280,23 @@
         // A failed renewal is made up for by the next one, and the watchers log the outage of the store.
         let _ = (store.transact)(transaction).await;
         // The start of a planned stop is published within a tenth of the period, so that no more jobs come here, and so
-        // is a change of the limits of targets.
+        // are a change of the limits of targets and a cut of the links to them.
         for _ in 0..10 {
             tokio::time::sleep(MEMBER_RENEWAL / 10).await;
-            if context.is_stopping() != row.is_stopping || !has_same_limits(&limits_to_publish(&context), &row.limits) {
+            let is_same =
+                context.is_stopping() == row.is_stopping && forwards_requests(&context) == row.forwards_requests;
+            if !is_same || !has_same_limits(&limits_to_publish(&context), &row.limits) {
                 break;
             }
         }
     }
 }
 
+/// Whether other hosts may send their requests to targets through this one.
+fn forwards_requests(context: &HostContext) -> bool {
+    context.settings.peer_address.is_some() && !context.links.is_cut()
+}
+
 fn limits_to_publish(context: &HostContext) -> Vec<LimitNotice> {
     context.with_loads(|loads| loads.limits.notices_to_publish(&context.view(), &context.settings.host))
 }
--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -19,6 +19,7 @@
 use crate::relay::crash_reports::CrashReports;
 use crate::relay::stream_origins::StreamOrigins;
 use crate::relay::target_codec::{TargetCodec, TargetHead};
+use crate::relay::target_relay::LinkTable;
 use crate::row_store::RowStore;
 
 /// State that the thread for callers and the control thread share.
@@ -34,6 +35,8 @@
     pub store: Arc<RowStore>,
     /// Open connections to targets, for reuse.
     pub pool: ConnectionPool,
+    /// Whether this host reaches targets over its own links.
+    pub links: LinkTable,
     /// Load of the targets that this host uses; see [`Self::with_loads`].
     pub loads: Mutex<LoadTable>,
     /// Cached headers of all batch jobs.
--- a/src/entry/host_metrics.rs
+++ b/src/entry/host_metrics.rs
@@ -34,6 +34,10 @@
     /// Connections that broke under an unanswered request: reports made, and how they were settled.
     pub crash_reports: IntCounterVec,
     held_requests: IntGauge,
+    /// Requests between hosts: those of other hosts that this one passed on, and own ones that no peer sent or whose answer a
+    /// peer lost.
+    pub forwards: IntCounterVec,
+    links_cut: IntGauge,
     configuration_version: IntGauge,
     configuration_age: Gauge,
     target_age: Gauge,
@@ -68,6 +72,7 @@
         let latency_options = |name: &str, help: &str| {
             HistogramOpts::new(name, help).namespace("camphorspring").buckets(LATENCY_BUCKET_SECONDS.to_vec())
         };
+        let counter_vec = |name: &str, help: &str, label: &str| IntCounterVec::new(build_options(name, help), &[label]);
         let int_gauge = |name: &str, help: &str| IntGauge::with_opts(build_options(name, help));
         let float_gauge = |name: &str, help: &str| Gauge::with_opts(build_options(name, help));
         Ok(Self {
@@ -79,14 +84,8 @@
                 &registry,
                 HistogramVec::new(latency_options("answer_seconds", "Time until the head of an answer"), &["kind"])?,
             ),
-            item_runs: register(
-                &registry,
-                IntCounterVec::new(build_options("item_runs_total", "Runs of items of batch jobs"), &["end"])?,
-            ),
-            gradings: register(
-                &registry,
-                IntCounterVec::new(build_options("gradings_total", "Attempts to grade outputs of items"), &["end"])?,
-            ),
+            item_runs: register(&registry, counter_vec("item_runs_total", "Runs of items of batch jobs", "end")?),
+            gradings: register(&registry, counter_vec("gradings_total", "Attempts to grade outputs of items", "end")?),
             grading_seconds: register(
                 &registry,
                 Histogram::with_opts(latency_options("grading_seconds", "Time of an attempt to grade an output"))?,
@@ -104,21 +103,32 @@
             ),
             resumed_streams: register(
                 &registry,
-                IntCounterVec::new(
-                    build_options("streams_taken_up_total", "Streams that callers took up, by what was known of them"),
-                    &["origin"],
+                counter_vec(
+                    "streams_taken_up_total",
+                    "Streams that callers took up, by what was known of them",
+                    "origin",
                 )?,
             ),
             crash_reports: register(
                 &registry,
-                IntCounterVec::new(
-                    build_options(
-                        "crash_reports_total",
-                        "Connections that broke under an unanswered request, by what became of the report",
-                    ),
-                    &["outcome"],
+                counter_vec(
+                    "crash_reports_total",
+                    "Connections that broke under an unanswered request, by what became of the report",
+                    "outcome",
                 )?,
             ),
+            forwards: register(
+                &registry,
+                counter_vec(
+                    "forwards_total",
+                    "Requests to targets that hosts passed on for each other, by outcome",
+                    "outcome",
+                )?,
+            ),
+            links_cut: register(
+                &registry,
+                int_gauge("target_links_cut", "1 while this host reaches targets only through its peers")?,
+            ),
             held_requests: register(
                 &registry,
                 int_gauge("held_requests", "Requests held back because targets crashed under them")?,
@@ -172,6 +182,7 @@
         self.open_jobs.set(count_to_gauge(context.board.open_jobs().len()));
         let running: u32 = context.with_loads(|loads| loads.loads().iter().map(|load| load.running).sum());
         self.running_requests.set(i64::from(running));
+        self.links_cut.set(i64::from(context.links.is_cut()));
         self.held_requests.set(count_to_gauge(context.crashes.held_requests()));
         self.limited_targets.set(count_to_gauge(context.with_loads(|loads| loads.limits.limited_targets())));
         self.connections_opened.set(i64::try_from(context.pool.opened()).unwrap_or(i64::MAX));
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -19,6 +19,7 @@
 use crate::entry::fleet_follower::{FleetPublisher, InstallationTables, follow_fleet};
 use crate::entry::host_context::HostContext;
 use crate::entry::host_metrics::HostMetrics;
+use crate::entry::peer_server::serve_peers;
 use crate::entry::request_entry::answer_caller;
 use crate::entry::settings::{InstallationSettings, InstallationSettingsLogLevel};
 use crate::fleet::target_load::LoadTable;
@@ -33,8 +34,9 @@
 use crate::relay::reply::ResponseBody;
 use crate::relay::stream_origins::{StreamOrigins, store_origins};
 use crate::relay::target_codec::TargetCodec;
+use crate::relay::target_relay::{LinkTable, watch_links};
 use crate::row_store::RowStore;
-use crate::row_store::store_relay::{SharedStoreRouter, serve_peers};
+use crate::row_store::store_relay::SharedStoreRouter;
 
 /// Delay between the start of a planned stop and the shutdown of open connections. The load balancer checks readiness
 /// once a second, and takes a host out after two failed checks.
@@ -98,7 +100,8 @@
         incarnation,
         view,
         store: Arc::new((dependencies.new_store)()),
-        pool: ConnectionPool::new(),
+        pool: ConnectionPool::for_targets(),
+        links: LinkTable::default(),
         loads: Mutex::new(LoadTable::new()),
         board: JobCache::new(),
         usage: UsageCounter::new(Duration::from_secs_f64(dependencies.settings.usage_window_seconds)),
@@ -129,7 +132,9 @@
             let store = Arc::new(new_store());
             let leader_tasks = LeaderTasks::new(Arc::clone(&control_context), Arc::clone(&store), new_leader_calls());
             if let Some(peer_address) = peer_address {
-                tokio::spawn(serve_peers(peer_address, store_address, Arc::clone(&store_router)));
+                let peers =
+                    serve_peers(Arc::clone(&control_context), peer_address, store_address, Arc::clone(&store_router));
+                tokio::spawn(peers);
             }
             tokio::join!(
                 follow_fleet(control_context, store, publisher, tables, Arc::clone(&leader_tasks), store_router),
@@ -186,6 +191,7 @@
     let caller_server = tokio::spawn(serve_callers(Arc::clone(&context), listener, handler, phase_receiver));
     let job_task = tokio::spawn(run_job_takeover(Arc::clone(&context)));
     tokio::spawn(store_origins(Arc::clone(&context)));
+    tokio::spawn(watch_links(Arc::clone(&context)));
     tokio::spawn(store_crash_reports(Arc::clone(&context)));
     log::info!(
         incarnation = context.incarnation, domain = context.settings.failure_domain,
@@ -210,7 +216,7 @@
     let _ = phase_sender.send(ServerPhase::Refusing);
     while boot_time().saturating_sub(stop_requested_at) < stop_limit.mul_f64(EXIT_FRACTION) {
         let is_idle = context.with_loads(|loads| loads.loads().iter().all(|load| load.running == 0));
-        if is_idle && context.busy_connections.load(Ordering::Acquire) == 0 {
+        if is_idle && context.busy_connections.load(Ordering::Acquire) == 0 && context.links.forwarded() == 0 {
             break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/src/fleet/member_row.rs
+++ b/src/fleet/member_row.rs
@@ -72,6 +72,9 @@
     /// Address at which the host relays store calls of its peers; `None` when it relays none.
     #[serde(default)]
     pub peer_address: Option<String>,
+    /// Whether the host passes requests of its peers on to targets, and reaches these.
+    #[serde(default)]
+    pub forwards_requests: bool,
     /// Number of renewals so far; a change shows that the host is live.
     pub beat: u64,
     /// Events of running items that the host can process per second; zero when it publishes none.
--- a/src/fleet/target_load.rs
+++ b/src/fleet/target_load.rs
@@ -224,6 +224,14 @@
         load.paused_until = now + backoff;
     }
 
+    /// Ends the backoffs after failures of all targets, when the failures turn out to be of this host's links.
+    pub fn end_backoffs(&mut self) {
+        for load in self.loads.iter_mut().filter(|load| load.failures > 0) {
+            load.failures = 0;
+            load.paused_until = BootTime::ZERO;
+        }
+    }
+
     /// Records that a target is much slower than its peers; the target gets no new work for three seconds.
     pub fn record_slow(&mut self, target: &str, now: BootTime) {
         let load = self.entry(target);
--- a/src/jobs/grading_run.rs
+++ b/src/jobs/grading_run.rs
@@ -13,6 +13,7 @@
 use crate::prelude::*;
 use crate::relay::connection_pool::{Exchange, ExchangeError, read_body};
 use crate::relay::target_codec::{SendOptions, TargetRequest};
+use crate::relay::target_relay::{SendRule, send_to_target};
 
 /// Largest response body that is read, in bytes; a larger one counts as lost.
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -80,7 +81,7 @@
         let Ok(request) = (self.context.target_codec.encode)(&request, &options) else {
             return GradingOutcome::Impossible;
         };
-        match self.context.pool.send(self.target.address, request).await {
+        match send_to_target(&self.context, &self.target, request, SendRule::REPEATED).await {
             Ok(exchange) => self.read_response(exchange).await,
             Err(ExchangeError::NotConnected | ExchangeError::Broken) => GradingOutcome::Lost,
         }
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -18,6 +18,7 @@
 use crate::relay::connection_pool::{Exchange, ExchangeError, read_body};
 use crate::relay::event_reader::{EventReader, StreamEvent};
 use crate::relay::target_codec::{SendOptions, TargetRequest};
+use crate::relay::target_relay::{SendRule, record_unreachable, send_to_target};
 
 /// Time for connecting and reading the prompt, in which the response may take longer than a pause between two events.
 const RESPONSE_HEAD_MARGIN: Duration = Duration::from_millis(200);
@@ -133,7 +134,9 @@
     /// load table when it tells something about the target, and logs a run that is not complete.
     pub async fn run(self) -> RunOutcome {
         let started = Instant::now();
+        let was_cut = self.context.links.is_cut();
         let (outcome, event_count) = self.send_and_read().await;
+        let is_link_cut = !was_cut && self.context.links.is_cut();
         let now = boot_time();
         let target = self.target.id.as_str();
         self.context.metrics.item_runs.with_label_values(&[outcome.name()]).inc();
@@ -141,6 +144,8 @@
             RunOutcome::Complete => loads.record_success(target, None),
             RunOutcome::Slow => loads.record_slow(target, now),
             RunOutcome::Refused => loads.record_full(target, now),
+            // The stream broke off with the link, and not by a failure of the target.
+            RunOutcome::Broken | RunOutcome::Stalled if is_link_cut => {}
             RunOutcome::Broken | RunOutcome::Stalled => loads.record_failure(target, now),
             RunOutcome::Misdirected | RunOutcome::Failed | RunOutcome::Impossible => {}
         });
@@ -172,7 +177,8 @@
             return (RunOutcome::Impossible, 0);
         };
         let head_timeout = self.pause_limit + RESPONSE_HEAD_MARGIN;
-        let sent = tokio::time::timeout(head_timeout, self.context.pool.send(self.target.address, request)).await;
+        let sent = send_to_target(&self.context, &self.target, request, SendRule::REPEATED);
+        let sent = tokio::time::timeout(head_timeout, sent).await;
         let exchange = match sent {
             Ok(Ok(exchange)) => exchange,
             Ok(Err(ExchangeError::NotConnected | ExchangeError::Broken)) => return (RunOutcome::Broken, 0),
@@ -219,6 +225,7 @@
             }
             return (outcome, 0);
         }
+        let is_direct = connection.address() == self.target.address;
         let mut version = target_head.version;
         // The head names no version when no events are left to generate, as when the former run broke off after the
         // last event.
@@ -231,12 +238,19 @@
         let mut output_bytes = self.with_progress(|progress| progress.data.iter().map(String::len).sum::<usize>());
         // Only whole events count as progress: a stalled target may still send comments or parts of an event.
         let mut stalls_at = tokio::time::Instant::now() + self.pause_limit;
+        let mut last_event_at = boot_time();
         loop {
             let frame = match tokio::time::timeout_at(stalls_at, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if reader.is_at_boundary() => break,
-                Ok(Some(Err(_)) | None) => return (RunOutcome::Broken, event_count),
-                Err(_) => return (RunOutcome::Stalled, event_count),
+                Ok(Some(Err(_)) | None) => {
+                    self.record_lost_link(is_direct, last_event_at, "broken");
+                    return (RunOutcome::Broken, event_count);
+                }
+                Err(_) => {
+                    self.record_lost_link(is_direct, last_event_at, "silent");
+                    return (RunOutcome::Stalled, event_count);
+                }
             };
             let Some(data) = frame.data_ref() else { continue };
             let Ok(new_events) = reader.push(data, self.context.target_codec.version_line) else {
@@ -244,6 +258,10 @@
             };
             if !new_events.is_empty() {
                 stalls_at = tokio::time::Instant::now() + self.pause_limit;
+                last_event_at = boot_time();
+                if is_direct {
+                    self.context.links.record_answer();
+                }
             }
             for event in new_events {
                 output_bytes += event.data.len();
@@ -283,6 +301,13 @@
         (RunOutcome::Complete, event_count)
     }
 
+    /// Records that a stream over a link of this host ended early.
+    fn record_lost_link(&self, is_direct: bool, last_event_at: BootTime, reason: &str) {
+        if is_direct {
+            record_unreachable(&self.context, &self.target, last_event_at, reason);
+        }
+    }
+
     /// Records the pace of the target, in seconds per event; returns whether the run should migrate.
     fn check_pace(&self, pace: f64) -> bool {
         let view = self.context.view();
--- a/src/jobs/job_ownership.rs
+++ b/src/jobs/job_ownership.rs
@@ -28,12 +28,17 @@
 const OWNER_CAPACITY_DIVISOR: u32 = 2;
 
 /// Host that should own a job; `None` when no host is live or all live hosts are stopping. Jobs of one route and model
-/// get the same host, which reuses its connections for them. Only strong hosts are chosen, since the owner reads and
-/// stores every event of its jobs.
+/// get the same host, which reuses its connections for them. Only strong hosts that reach targets are chosen, since the
+/// owner reads and stores every event of its jobs.
 #[must_use]
 pub fn preferred_owner(view: &FleetView, route: &str, model: &str) -> Option<HostId> {
     let key = format!("{route}/{model}");
-    let hosts = || view.live_members().filter(|member| !member.row.is_stopping);
+    // The owner sends the items to targets; a host that reaches none would send them through others.
+    let has_forwarding = view.live_members().any(|member| !member.row.is_stopping && member.row.forwards_requests);
+    let hosts = || {
+        let running = view.live_members().filter(|member| !member.row.is_stopping);
+        running.filter(move |member| member.row.forwards_requests || !has_forwarding)
+    };
     let largest_capacity = hosts().map(|member| member.row.capacity).max()?;
     let strong_hosts = hosts().filter(|member| member.row.capacity >= largest_capacity / OWNER_CAPACITY_DIVISOR);
     choose_member(&key, strong_hosts.map(|member| member.host.as_str())).map(str::to_owned)
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -13,3 +13,5 @@
 pub mod reply;
 pub mod stream_origins;
 pub mod target_codec;
+pub mod target_links;
+pub mod target_relay;
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -47,6 +47,14 @@
     driver: JoinHandle<()>,
 }
 
+impl PooledConnection {
+    /// Address that the connection was opened to: that of the target, or of a peer that passes requests on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         // Closes the socket at once, which makes the server cancel a request that is still running.
@@ -72,18 +80,37 @@
 }
 
 /// Idle connections for reuse, and counts of opened and reused connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionPool {
+    connect_timeout: Duration,
     idle: Mutex<Vec<IdleConnection>>,
     opened: AtomicU64,
     reused: AtomicU64,
 }
 
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl ConnectionPool {
-    /// Creates a pool without connections; connections are opened on demand.
+    /// Creates a pool without connections; connections are opened on demand, within [`CONNECT_TIMEOUT`].
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            connect_timeout: CONNECT_TIMEOUT,
+            idle: Mutex::default(),
+            opened: AtomicU64::new(0),
+            reused: AtomicU64::new(0),
+        }
+    }
+
+    /// Creates a pool for targets, and for peers that pass requests on, whose connections must open within
+    /// [`TARGET_CONNECT_TIMEOUT`].
+    #[must_use]
+    pub fn for_targets() -> Self {
+        Self { connect_timeout: TARGET_CONNECT_TIMEOUT, ..Self::new() }
     }
 
     /// Number of connections opened so far.
@@ -111,7 +138,7 @@
 
     /// Sends a request and waits for the head of the response, on an idle connection if there is one.
     ///
-    /// Only connecting is limited in time, to [`CONNECT_TIMEOUT`].
+    /// Only connecting is limited in time, to the timeout of the pool.
     ///
     /// # Errors
     ///
@@ -140,7 +167,7 @@
 
     /// Sends a request, reads the whole response and keeps the connection for the default idle time.
     ///
-    /// Only connecting is limited in time, to [`CONNECT_TIMEOUT`].
+    /// Only connecting is limited in time, to the timeout of the pool.
     ///
     /// # Errors
     ///
@@ -161,7 +188,7 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<PooledConnection, ExchangeError> {
         let connect = TcpStream::connect(address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
+        let stream = tokio::time::timeout(self.connect_timeout, connect).await;
         let stream = stream.ok().and_then(Result::ok).ok_or(ExchangeError::NotConnected)?;
         // With Nagle's algorithm, a small request could wait for the acknowledgement of the previous one.
         let _ = stream.set_nodelay(true);
--- a/src/relay/crash_reports.rs
+++ b/src/relay/crash_reports.rs
@@ -155,7 +155,8 @@
         .view()
         .target(&target.id)
         .is_some_and(|entry| entry.started_ms == target.started_ms && entry.state == TargetState::Ready);
-    if !is_serving {
+    // All connections of a host whose links are cut break.
+    if !is_serving || context.links.is_cut_for_certain() {
         return;
     }
     let report = CrashReport {
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -27,6 +27,7 @@
 use crate::relay::reply::{BodyError, ResponseBody, code_reply, whole_body};
 use crate::relay::stream_origins::StreamOrigin;
 use crate::relay::target_codec::{SendOptions, TargetHead, TargetRequest};
+use crate::relay::target_relay::{SendRule, record_unreachable, send_to_target};
 use crate::traffic::crash_quarantine::fingerprint_of;
 use crate::traffic::quarantine::Fingerprint;
 
@@ -111,7 +112,7 @@
     pub arrived_at: BootTime,
     /// Time that the caller waits for the response; `None` when the caller named none.
     pub patience: Option<Duration>,
-    /// Computed on first use by [`Self::fingerprint`].
+    /// Same for each submission of the request by its caller; computed on first use.
     pub fingerprint: OnceLock<Fingerprint>,
 }
 
@@ -177,6 +178,8 @@
         StreamStart::NotResumable | StreamStart::Begin => None,
     };
     let mut attempted: Vec<TargetId> = Vec::new();
+    // Targets of all attempts, with the times at which these began.
+    let mut running_targets: Vec<(TargetEntry, BootTime)> = Vec::new();
     let mut running_attempts = FuturesUnordered::new();
     let mut error_response = None;
     loop {
@@ -208,7 +211,11 @@
                 let pace = context.with_loads(|loads| loads.get(&target.id).and_then(|load| load.pace));
                 hedge_after = Some(hedge_delay(relay.route.objective, pace));
             }
-            running_attempts.push(run_attempt(context, relay, target, running_request, deadline));
+            let has_silent_attempt = !running_attempts.is_empty();
+            let prefers_peers = has_silent_attempt && context.links.is_doubtful();
+            let rule = SendRule { is_repeatable, prefers_peers };
+            running_targets.push((target.clone(), boot_time()));
+            running_attempts.push(run_attempt(context, relay, target, running_request, deadline, rule));
             trace.may_have_run = true;
         }
         if running_attempts.is_empty() {
@@ -223,7 +230,11 @@
         };
         match outcome {
             // The response is overdue; the loop starts another attempt if the route allows one.
-            None => {}
+            None => {
+                if let Some((target, since)) = running_targets.last() {
+                    record_unreachable(context, target, *since, "overdue");
+                }
+            }
             Some(Some(AttemptOutcome::Lost)) => trace.has_trial = false,
             Some(None) => return Err(final_code(trace, ResultCode::NoTarget)),
             Some(Some(AttemptOutcome::Answered(response))) => return Ok(response),
@@ -348,12 +359,13 @@
     target: TargetEntry,
     running_request: RunningRequest,
     deadline: BootTime,
+    rule: SendRule,
 ) -> AttemptOutcome {
     let now = boot_time();
     let started = Instant::now();
     let options = SendOptions { target: &target.id, deadline: deadline.saturating_sub(now), resume_after: None };
     let Ok(request) = (context.target_codec.encode)(&relay.request, &options) else { return AttemptOutcome::NotRun };
-    let exchange = match context.pool.send(target.address, request).await {
+    let exchange = match send_to_target(context, &target, request, rule).await {
         Ok(exchange) => exchange,
         Err(error) => {
             record_target_failure(context, relay, &target, error);
--- /dev/null
+++ b/src/relay/target_relay.rs
@@ -0,0 +1,370 @@
+//! Sends requests to targets, over a link of this host or through another host, and passes requests of other hosts on.
+//!
+//! A peer passes a request on as it is, once and only over its own links, to the target that the request names; it chooses
+//! nothing. The host that sends keeps the attempts, the deadline, the counts and the usage. The outcome is the peer's: a
+//! request that the peer did not send has not run, and one whose answer the peer lost may have. The body of the answer is
+//! passed on as it arrives, and a body that breaks off breaks the connection. A caller that leaves ends the connection to the
+//! peer, and with it the run.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
+use hyper::header::HeaderValue;
+use hyper::{Request, Response};
+
+use crate::entry::host_context::HostContext;
+use crate::fleet::fleet_view::{FleetView, TargetEntry, TargetState};
+use crate::fleet::target_load::LoadTable;
+use crate::prelude::*;
+use crate::relay::connection_pool::{ConnectionPool, Exchange, ExchangeError, PooledConnection, SendBody, read_body};
+use crate::relay::plain_relay::strip_connection_headers;
+use crate::relay::reply::{BodyError, ResponseBody};
+use crate::relay::target_links::TargetLinks;
+use crate::row_store::store_relay::{read_relay_error, relay_error};
+
+/// Header of a request between hosts with the id of the target that it is for.
+pub const TARGET_HEADER: &str = "camphorspring-target";
+
+/// Time without the head of a response after which the link to the target is in doubt.
+const SILENCE_LIMIT: Duration = Duration::from_millis(250);
+
+/// Timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Most peers that are tried for one attempt while the links count as cut; each one fails within milliseconds or after
+/// [`TARGET_CONNECT_TIMEOUT`].
+const PEERS_PER_ATTEMPT: usize = 3;
+
+/// Time after which a cut is certain, since the first probe has failed.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(450);
+
+/// Time after which a host whose links are cut leaves the duties of the leader to another one: two probes.
+const HANDOVER_DELAY: Duration = Duration::from_secs(1);
+
+/// Most requests of other hosts that a host has in flight; further ones are refused.
+const MAX_FORWARDED: usize = 512;
+
+/// Largest body of a request that is passed on.
+const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+
+/// Links of this host to targets, shared by its tasks.
+#[derive(Debug, Default)]
+pub struct LinkTable {
+    links: Mutex<TargetLinks>,
+    /// Requests of other hosts in flight.
+    forwarded: AtomicUsize,
+}
+
+impl LinkTable {
+    fn with<T>(&self, work: impl FnOnce(&mut TargetLinks) -> T) -> T {
+        work(&mut self.links.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Whether this host reaches targets only through its peers.
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        self.with(|links| links.is_cut())
+    }
+
+    /// Whether this host reaches targets only through its peers, and a probe has shown it.
+    #[must_use]
+    pub fn is_cut_for_certain(&self) -> bool {
+        self.with(|links| links.is_cut_for(CONFIRMATION_DELAY, boot_time()))
+    }
+
+    /// Whether a target was out of reach a moment ago, and none has answered since.
+    #[must_use]
+    pub fn is_doubtful(&self) -> bool {
+        self.with(|links| links.is_doubtful(boot_time()))
+    }
+
+    /// Requests of other hosts in flight.
+    #[must_use]
+    pub fn forwarded(&self) -> usize {
+        self.forwarded.load(Ordering::Acquire)
+    }
+
+    /// Whether this host should leave work that needs links to targets to other hosts, some of which have them.
+    #[must_use]
+    pub fn should_hand_over(&self, view: &FleetView, own_host: &str) -> bool {
+        let is_cut = self.with(|links| links.is_cut_for(HANDOVER_DELAY, boot_time()));
+        is_cut && !forwarding_peers(view, own_host, "").1.is_empty()
+    }
+
+    /// Records that a target answered, or went on with an answer, over a link of this host.
+    pub fn record_answer(&self) {
+        if self.with(|links| links.record_answer(boot_time())) {
+            log::info!("targets_reachable_directly");
+        }
+    }
+}
+
+/// Records that a target did not answer a request that was sent at `since`, over a link of this host.
+pub fn record_unreachable(context: &Arc<HostContext>, target: &TargetEntry, since: BootTime, reason: &str) {
+    if context.links.with(|links| links.record_unreachable(target.address, since, boot_time())) {
+        log::warn!(target = target.id, reason = reason; "targets_unreachable_directly");
+        // What looked like failures of the targets was the cut.
+        context.with_loads(LoadTable::end_backoffs);
+        spawn_due_probe(context);
+    }
+}
+
+/// How an attempt is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendRule {
+    /// Whether the request may be sent again, so that an attempt ends once its link is known to be cut.
+    pub is_repeatable: bool,
+    /// Whether peers come first, since an earlier attempt of the same request has no answer and the links are in doubt.
+    pub prefers_peers: bool,
+}
+
+impl SendRule {
+    /// Rule for requests that are sent again until they succeed, such as items.
+    pub const REPEATED: Self = Self { is_repeatable: true, prefers_peers: false };
+}
+
+/// Sends a request to a target and waits for the head of the response.
+///
+/// # Errors
+///
+/// [`ExchangeError::NotConnected`] when neither this host nor a peer sent the request, [`ExchangeError::Broken`] when it may
+/// have arrived.
+pub async fn send_to_target(
+    context: &Arc<HostContext>,
+    target: &TargetEntry,
+    request: Request<SendBody>,
+    rule: SendRule,
+) -> Result<Exchange, ExchangeError> {
+    let uses_peers = context.links.is_cut() || rule.prefers_peers;
+    if uses_peers {
+        let sent = send_through_peers(context, target, request.clone()).await;
+        if !matches!(sent, Err(ExchangeError::NotConnected)) {
+            return sent;
+        }
+    }
+    let sent = send_directly(context, &context.pool, target, request.clone(), rule.is_repeatable).await;
+    if uses_peers || !matches!(sent, Err(ExchangeError::NotConnected)) {
+        return sent;
+    }
+    send_through_peers(context, target, request).await
+}
+
+async fn send_directly(
+    context: &Arc<HostContext>,
+    pool: &ConnectionPool,
+    target: &TargetEntry,
+    request: Request<SendBody>,
+    is_repeatable: bool,
+) -> Result<Exchange, ExchangeError> {
+    let since = boot_time();
+    let mut sent = std::pin::pin!(pool.send(target.address, request));
+    let mut is_silent = false;
+    let result = loop {
+        match tokio::time::timeout(SILENCE_LIMIT, sent.as_mut()).await {
+            Ok(result) => break result,
+            Err(_) if !is_silent => {
+                is_silent = true;
+                record_unreachable(context, target, since, "silent");
+            }
+            Err(_) if is_repeatable && context.links.is_cut_for_certain() => return Err(ExchangeError::Broken),
+            Err(_) => {}
+        }
+    };
+    match &result {
+        Ok(_) => context.links.record_answer(),
+        Err(ExchangeError::NotConnected) => record_unreachable(context, target, since, "not_connected"),
+        Err(ExchangeError::Broken) => record_unreachable(context, target, since, "broken"),
+    }
+    result
+}
+
+/// Addresses of the hosts that pass requests on, those of `own_domain` first: live, not stopping, and with links to targets.
+#[must_use]
+pub fn forwarding_peers(view: &FleetView, own_host: &str, own_domain: &str) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let members = view
+        .live_members()
+        .filter(|member| member.host != own_host && !member.row.is_stopping && member.row.forwards_requests);
+    let addresses = members.filter_map(|member| {
+        let address: SocketAddr = member.row.peer_address.as_deref()?.parse().ok()?;
+        Some((member.row.domain == own_domain, address))
+    });
+    let (near, far): (Vec<_>, Vec<_>) = addresses.partition(|(is_near, _)| *is_near);
+    let strip = |peers: Vec<(bool, SocketAddr)>| peers.into_iter().map(|(_, address)| address).collect();
+    (strip(near), strip(far))
+}
+
+async fn send_through_peers(
+    context: &HostContext,
+    target: &TargetEntry,
+    mut request: Request<SendBody>,
+) -> Result<Exchange, ExchangeError> {
+    let Ok(id) = HeaderValue::from_str(&target.id) else { return Err(ExchangeError::NotConnected) };
+    request.headers_mut().insert(TARGET_HEADER, id);
+    let settings = &context.settings;
+    let (near, far) = forwarding_peers(&context.view(), &settings.host, &settings.failure_domain);
+    let peers = context.links.with(|links| links.order_peers(&near, &far, boot_time()));
+    // If only this target is out of reach, the target itself has probably failed.
+    let max_peers = if context.links.is_cut() { PEERS_PER_ATTEMPT } else { 1 };
+    for peer in peers.into_iter().take(max_peers) {
+        let sent = context.pool.send(peer, request.clone()).await;
+        let outcome = match sent {
+            Ok(exchange) => match read_relay_error(exchange.response.headers()) {
+                None => return Ok(exchange),
+                Some(error) => error,
+            },
+            Err(error) => error,
+        };
+        context
+            .metrics
+            .forwards
+            .with_label_values(&[if outcome == ExchangeError::Broken { "lost" } else { "not_sent" }])
+            .inc();
+        if outcome == ExchangeError::Broken {
+            return Err(outcome);
+        }
+        context.links.with(|links| links.record_peer_failure(peer, boot_time()));
+    }
+    Err(ExchangeError::NotConnected)
+}
+
+/// Probes a target if a probe is due, without waiting for the result.
+fn spawn_due_probe(context: &Arc<HostContext>) {
+    if context.links.with(|links| links.begin_probe(boot_time())) {
+        tokio::spawn(probe_target(Arc::clone(context)));
+    }
+}
+
+/// Asks a target for any answer; the targets take turns.
+async fn probe_target(context: Arc<HostContext>) {
+    const MAX_ANSWER_BYTES: usize = 64 * 1024;
+    let view = context.view();
+    let now = boot_time();
+    let ready: Vec<&TargetEntry> = view
+        .targets
+        .iter()
+        .filter(|target| {
+            target.state == TargetState::Ready && target.cold_until <= now && !view.is_closed(&target.domain)
+        })
+        .collect();
+    let turn = context.links.with(TargetLinks::next_turn);
+    let Some(target) = turn.checked_rem(ready.len()).map(|position| ready[position]) else { return };
+    let Ok(request) = (context.target_codec.probe)(&target.id) else { return };
+    context.with_loads(|loads| loads.record_arrival(&target.id, now));
+    let exchange = tokio::time::timeout(PROBE_TIMEOUT, context.pool.send(target.address, request)).await;
+    let Ok(Ok(Exchange { response, connection, .. })) = exchange else { return };
+    context.links.record_answer();
+    let (head, body) = response.into_parts();
+    let idle_limit = (context.target_codec.decode)(&head).idle_limit;
+    if matches!(tokio::time::timeout(PROBE_TIMEOUT, read_body(body, MAX_ANSWER_BYTES)).await, Ok(Ok(_))) {
+        context.pool.give_back(connection, idle_limit);
+    }
+}
+
+/// Probes targets while the links are cut, also without requests of callers; never returns.
+pub async fn watch_links(context: Arc<HostContext>) {
+    loop {
+        tokio::time::sleep(PROBE_CHECK_INTERVAL).await;
+        spawn_due_probe(&context);
+    }
+}
+
+/// Interval at which [`watch_links`] looks whether a probe is due.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Counts a request of another host as in flight until dropped.
+#[derive(Debug)]
+struct ForwardGuard(Arc<HostContext>);
+
+impl ForwardGuard {
+    /// `None` when too many are in flight.
+    fn new(context: &Arc<HostContext>) -> Option<Self> {
+        let guard = Self(Arc::clone(context));
+        (context.links.forwarded.fetch_add(1, Ordering::AcqRel) < MAX_FORWARDED).then_some(guard)
+    }
+}
+
+impl Drop for ForwardGuard {
+    fn drop(&mut self) {
+        self.0.links.forwarded.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Passes a request of another host on to the target that it names; the caller has found [`TARGET_HEADER`]. `pool` has the
+/// connections of the calling thread.
+pub async fn forward_request(
+    context: &Arc<HostContext>,
+    pool: &Arc<ConnectionPool>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let not_sent = || relay_error(ExchangeError::NotConnected);
+    let Some(guard) = ForwardGuard::new(context).filter(|_| !context.is_stopping()) else { return not_sent() };
+    let (mut head, body) = request.into_parts();
+    let id = head.headers.remove(TARGET_HEADER);
+    let request_id = (context.caller_codec.decode)(&head).request_id;
+    let view = context.view();
+    let target = id.as_ref().and_then(|id| view.target(id.to_str().ok()?));
+    // This host may know that a target is leaving before the sender does.
+    let usable = target.filter(|target| target.state == TargetState::Ready && !view.is_closed(&target.domain));
+    let Some(target) = usable else { return not_sent() };
+    let Ok(body) = read_body(body, MAX_BODY_BYTES).await else { return not_sent() };
+    strip_connection_headers(&mut head.headers);
+    let request = Request::from_parts(head, SendBody::new(body));
+    let exchange = match send_directly(context, pool, target, request, false).await {
+        Ok(exchange) => exchange,
+        Err(error) => return relay_error(error),
+    };
+    context.metrics.forwards.with_label_values(&["passed_on"]).inc();
+    let Exchange { response, connection, is_reused } = exchange;
+    let (mut head, body) = response.into_parts();
+    let target_head = (context.target_codec.decode)(&head);
+    // The sender cannot tell whether the connection to the target was used before.
+    if !target_head.answers(&request_id, is_reused) {
+        return relay_error(ExchangeError::Broken);
+    }
+    strip_connection_headers(&mut head.headers);
+    let body = ForwardedBody {
+        body,
+        connection: Some(connection),
+        idle_limit: target_head.idle_limit,
+        pool: Arc::clone(pool),
+        _guard: guard,
+    };
+    Response::from_parts(head, BodyExt::boxed(body))
+}
+
+/// Body of an answer that is passed on as it arrives; gives the connection back at its end.
+struct ForwardedBody {
+    body: Incoming,
+    connection: Option<PooledConnection>,
+    idle_limit: Option<Duration>,
+    pool: Arc<ConnectionPool>,
+    _guard: ForwardGuard,
+}
+
+impl Body for ForwardedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(context));
+        if frame.is_none()
+            && let Some(connection) = self.connection.take()
+        {
+            self.pool.give_back(connection, self.idle_limit);
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(BodyError::from)))
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/row_store/store_relay.rs
+++ b/src/row_store/store_relay.rs
@@ -4,21 +4,16 @@
 //! configured with. A host whose direct route to the store has failed reports this at once, so that the calling host
 //! can use another peer.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
 
 use crate::prelude::*;
 use crate::relay::connection_pool::{ConnectionPool, ExchangeError, SendBody, read_body};
+use crate::relay::reply::{ResponseBody, whole_body};
 use crate::row_store::StoreCallError;
 use crate::row_store::store_router::{PEERS_PER_CALL, RouteOutcome, StoreRoute, StoreRouter};
 
@@ -38,12 +33,6 @@
 /// Maximum body size of a forwarded call and of the store's response; enough for 1 MB of rows in encoded form.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
-/// Time after which a connection of a peer without a call is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Wait after a failed accept, for example when file descriptors have run out.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-
 /// Router that all threads of a host share, so that each thread knows the failures seen by the others.
 pub type SharedStoreRouter = Arc<Mutex<StoreRouter>>;
 
@@ -106,76 +95,55 @@
 
 /// Forwards the calls of peers to one store.
 #[derive(Debug)]
-struct StoreRelay {
+pub struct StoreRelay {
     store: SocketAddr,
     router: SharedStoreRouter,
     pool: ConnectionPool,
 }
 
-/// Forwards the store calls of peers that arrive at `address` to `store`, until the process ends.
-///
-/// Logs an error and returns if the address cannot be bound.
-pub async fn serve_peers(address: SocketAddr, store: SocketAddr, router: SharedStoreRouter) {
-    let listener = match TcpListener::bind(address).await {
-        Ok(listener) => listener,
-        Err(error) => {
-            log::error!(address = address.to_string(), error = error.to_string(); "peer_listener_failed");
-            return;
-        }
-    };
-    let relay = Arc::new(StoreRelay { store, router, pool: ConnectionPool::new() });
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_BACKOFF).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let relay = Arc::clone(&relay);
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let relay = Arc::clone(&relay);
-                async move { Ok::<_, Infallible>(relay.forward(request).await) }
-            });
-            let mut builder = http1::Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
-            // Peers may close these connections at any time, so errors are ignored.
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-        });
+impl StoreRelay {
+    /// Creates a relay to `store` with a connection pool of its own, for use on the calling thread.
+    #[must_use]
+    pub fn new(store: SocketAddr, router: SharedStoreRouter) -> Self {
+        Self { store, router, pool: ConnectionPool::new() }
     }
-}
 
-impl StoreRelay {
     /// Forwards one call; a call that cannot be forwarded gets a response with [`RELAY_ERROR_HEADER`].
-    async fn forward(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    pub async fn forward(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         if with_store_router(&self.router, |router| router.has_direct_route_failed()) {
-            return relay_error(NOT_SENT);
+            return relay_error(ExchangeError::NotConnected);
         }
         let (head, body) = request.into_parts();
-        let Ok(body) = read_body(body, MAX_BODY_BYTES).await else { return relay_error(NOT_SENT) };
+        let Ok(body) = read_body(body, MAX_BODY_BYTES).await else { return relay_error(ExchangeError::NotConnected) };
         let mut builder = Request::builder().method(head.method).uri(head.uri).header("host", self.store.to_string());
         if !body.is_empty() {
             builder = builder.header("content-type", "application/json");
         }
-        let Ok(request) = builder.body(SendBody::new(body)) else { return relay_error(NOT_SENT) };
+        let Ok(request) = builder.body(SendBody::new(body)) else { return relay_error(ExchangeError::NotConnected) };
         let response = tokio::time::timeout(CALL_TIMEOUT, self.exchange(request)).await;
-        response.unwrap_or_else(|_| relay_error(ANSWER_LOST))
+        response.unwrap_or_else(|_| relay_error(ExchangeError::Broken))
     }
 
-    async fn exchange(&self, request: Request<SendBody>) -> Response<Full<Bytes>> {
+    async fn exchange(&self, request: Request<SendBody>) -> Response<ResponseBody> {
         let store_response = match self.pool.fetch(self.store, request, MAX_BODY_BYTES).await {
             Ok(response) => response,
-            Err(ExchangeError::NotConnected) => return relay_error(NOT_SENT),
-            Err(ExchangeError::Broken) => return relay_error(ANSWER_LOST),
+            Err(error) => return relay_error(error),
         };
-        let mut response = Response::new(Full::default());
-        *response.status_mut() = store_response.status();
-        *response.body_mut() = Full::new(store_response.into_body());
+        let status = store_response.status();
+        let mut response = Response::new(whole_body(store_response.into_body()));
+        *response.status_mut() = status;
         response
     }
 }
 
-fn relay_error(kind: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+/// Response of a host that could not forward a call.
+#[must_use]
+pub fn relay_error(error: ExchangeError) -> Response<ResponseBody> {
+    let kind = match error {
+        ExchangeError::NotConnected => NOT_SENT,
+        ExchangeError::Broken => ANSWER_LOST,
+    };
+    let mut response = Response::new(whole_body(Bytes::new()));
     *response.status_mut() = StatusCode::BAD_GATEWAY;
     response.headers_mut().insert(RELAY_ERROR_HEADER, hyper::header::HeaderValue::from_static(kind));
     response
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -48,7 +48,9 @@
     },
     /// Closes all connections with clients and with the upstream; new ones are accepted.
     Reset,
-    /// Ends cuts and the delay. Bytes held back by a cut are sent; bytes queued with a delay keep it.
+    /// Refuses new connections until [`RelayCommand::Restore`]; open ones go on.
+    Refuse,
+    /// Ends cuts, refusals and the delay. Bytes held back by a cut are sent; bytes queued with a delay keep it.
     Restore,
 }
 
@@ -69,7 +71,16 @@
     delay: Duration,
     /// Number of times that all connections were closed; a connection ends when the number changes.
     generation: u64,
-    is_stopped: bool,
+    intake: RelayIntake,
+}
+
+/// What happens to new connections of clients.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum RelayIntake {
+    #[default]
+    Accepting,
+    Refusing,
+    Stopped,
 }
 
 impl RelayState {
@@ -81,9 +92,11 @@
             }
             RelayCommand::Slow { delay_ms } => self.delay = Duration::from_millis(delay_ms),
             RelayCommand::Reset => self.generation += 1,
+            RelayCommand::Refuse => self.intake = RelayIntake::Refusing,
             RelayCommand::Restore => {
                 self.is_forward_cut = false;
                 self.is_backward_cut = false;
+                self.intake = RelayIntake::Accepting;
                 self.delay = Duration::ZERO;
             }
         }
@@ -170,7 +183,7 @@
 impl Drop for RelayStandin {
     fn drop(&mut self) {
         self.state.send_modify(|state| {
-            state.is_stopped = true;
+            state.intake = RelayIntake::Stopped;
             state.generation += 1;
         });
     }
@@ -196,11 +209,26 @@
     upstream: Arc<Mutex<SocketAddr>>,
     mut state: watch::Receiver<RelayState>,
 ) {
-    let Ok(listener) = TcpListener::from_std(listener) else { return };
+    let Ok(mut listener) = TcpListener::from_std(listener) else { return };
+    let Ok(address) = listener.local_addr() else { return };
     loop {
         let accepted = tokio::select! {
-            _ = state.wait_for(|state| state.is_stopped) => return,
-            accepted = listener.accept() => accepted,
+            _ = state.wait_for(|state| state.intake != RelayIntake::Accepting) => None,
+            accepted = listener.accept() => Some(accepted),
+        };
+        let Some(accepted) = accepted else {
+            drop(listener);
+            let ended = state.wait_for(|state| state.intake != RelayIntake::Refusing).await;
+            if ended.map_or(true, |state| state.intake == RelayIntake::Stopped) {
+                return;
+            }
+            listener = loop {
+                match TcpListener::bind(address).await {
+                    Ok(listener) => break listener,
+                    Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+                }
+            };
+            continue;
         };
         match accepted {
             Ok((stream, _)) => {
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -40,6 +40,7 @@
         let after = options.resume_after.map_or_else(|| "none".to_owned(), |event| event.to_string());
         Request::post(&request.path).header("host", "e").header("after", after).body(SendBody::default())
     },
+    probe: |_| Request::get("/report").body(SendBody::default()),
     decode: |head| {
         let value = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
         TargetHead {
@@ -91,6 +92,7 @@
         loads: Mutex::new(LoadTable::new()),
         board: JobCache::new(),
         usage: UsageCounter::new(at(5000)),
+        links: camphorspring::relay::target_relay::LinkTable::default(),
         crashes: camphorspring::relay::crash_reports::CrashReports::default(),
         stream_origins: StreamOrigins::default(),
         metrics: HostMetrics::new().expect("the names are valid"),
--- a/tests/integration/relay.rs
+++ b/tests/integration/relay.rs
@@ -3,4 +3,5 @@
 mod answers;
 mod attempts;
 mod events;
+mod links;
 mod streams;
--- a/tests/soak/installation.rs
+++ b/tests/soak/installation.rs
@@ -51,6 +51,12 @@
     metrics_port: ReservedPort,
     /// Relay between this host and the store, which injects faults of this connection only.
     pub store_relay: RelayStandin,
+    /// Links of this host to the targets, in their order, which inject faults of this host only; empty when all hosts share
+    /// those of the targets.
+    pub target_links: Vec<RelayStandin>,
+    /// Server of the store at which this host sees its own links as the addresses of the targets.
+    #[expect(dead_code, reason = "serves until the installation is dropped")]
+    own_store_server: Option<StandinServer>,
     child: Mutex<Option<Child>>,
 }
 
@@ -92,6 +98,15 @@
     /// Starts the store, the targets and the hosts, and waits until all hosts are ready. Panics when one cannot start or
     /// is not ready in time.
     pub fn start(seed: u64) -> Self {
+        Self::start_hosts(seed, false)
+    }
+
+    /// Like [`Self::start`], with links to the targets of its own for each host. Faults of `store_server` then concern no host.
+    pub fn start_with_own_links(seed: u64) -> Self {
+        Self::start_hosts(seed, true)
+    }
+
+    fn start_hosts(seed: u64, has_own_links: bool) -> Self {
         let directory = tempfile::Builder::new().prefix(&format!("soak-{seed}-")).tempdir().expect("a directory");
         let (store, run_log) = (StoreStandin::new(), RunLog::default());
         let store_server = store.serve().expect("the store starts");
@@ -103,20 +118,36 @@
             SoakTarget { service, standin, server, relay }
         });
         let store_address = store_server.address();
-        let hosts = (1..=HOST_COUNT).map(|number| SoakHost {
-            name: format!("host-{number}"),
-            caller_port: ReservedPort::new().expect("a free port"),
-            readiness_port: ReservedPort::new().expect("a free port"),
-            peer_port: ReservedPort::new().expect("a free port"),
-            metrics_port: ReservedPort::new().expect("a free port"),
-            store_relay: start_relay(store_address),
-            child: Mutex::new(None),
+        let hosts = (1..=HOST_COUNT).map(|number| {
+            let links: Vec<RelayStandin> = if has_own_links {
+                targets.iter().map(|target: &SoakTarget| start_relay(target.relay.address())).collect()
+            } else {
+                Vec::new()
+            };
+            let addresses = targets.iter().zip(&links);
+            let addresses =
+                addresses.map(|(target, link)| (target.relay.address().to_string(), link.address().to_string()));
+            let own_store = has_own_links.then(|| store.with_addresses(addresses.collect()));
+            let own_store_server = own_store.map(|store| store.serve().expect("the store starts"));
+            let store_address = own_store_server.as_ref().map_or(store_address, StandinServer::address);
+            SoakHost {
+                name: format!("host-{number}"),
+                caller_port: ReservedPort::new().expect("a free port"),
+                readiness_port: ReservedPort::new().expect("a free port"),
+                peer_port: ReservedPort::new().expect("a free port"),
+                metrics_port: ReservedPort::new().expect("a free port"),
+                store_relay: start_relay(store_address),
+                target_links: links,
+                own_store_server,
+                child: Mutex::new(None),
+            }
         });
+        let hosts = hosts.collect();
         let installation = Self {
             directory,
             store,
             store_server,
-            hosts: hosts.collect(),
+            hosts,
             targets: targets.into(),
             run_log,
             should_stop: Arc::new(AtomicBool::new(false)),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod fault_plan;
 mod installation;
 mod limits;
+mod links;
 mod load;
 mod outcome_log;
 mod peers;
