Send nothing more to targets that say in a response that they leave

Cause: no host read the header, only the entry in the store. The decoded head now says it, and the view of the host takes that start of the target out of service.

--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -119,6 +119,7 @@
     let pacer = Arc::new(FeedPacer::default());
     let mut outage_log = FeedOutageLog::new(tables.operator_table);
     let operator_publisher = Arc::clone(&publisher);
+    let leaving_publisher = Arc::clone(&publisher);
     let operators = watch_table(
         Arc::clone(&store),
         build_watch_rule(tables.operator_table, single_partition(), Duration::ZERO),
@@ -203,7 +204,18 @@
             leader_tasks.apply_duties(&event, now);
         },
     );
-    tokio::join!(operators, targets, members, jobs, lease, renew_member(context, store));
+    let leaving = follow_leaving_targets(Arc::clone(&context), leaving_publisher);
+    tokio::join!(operators, targets, members, jobs, lease, leaving, renew_member(context, store));
+}
+
+/// Takes targets out of service that say in a response that they leave; never returns.
+async fn follow_leaving_targets(context: Arc<HostContext>, publisher: Arc<FleetPublisher>) {
+    let mut leaving = context.leaving_targets.subscribe();
+    // The sender is in the context, which outlives this task.
+    while leaving.changed().await.is_ok() {
+        let targets = leaving.borrow_and_update().clone();
+        publisher.apply_change(|state| state.set_leaving(&targets));
+    }
 }
 
 /// Takes over the rate limits of targets that the hosts publish, and records the hosts that share them.
--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -8,7 +8,8 @@
 use crate::duties::usage_counter::UsageCounter;
 use crate::entry::host_metrics::HostMetrics;
 use crate::entry::settings::InstallationSettings;
-use crate::fleet::fleet_view::FleetView;
+use crate::fleet::fleet_state::LeavingTarget;
+use crate::fleet::fleet_view::{FleetView, TargetEntry};
 use crate::fleet::target_limit::LimitNotice;
 use crate::fleet::target_load::LoadTable;
 use crate::jobs::job_cache::JobCache;
@@ -22,6 +23,9 @@
 use crate::relay::target_relay::LinkTable;
 use crate::row_store::RowStore;
 
+/// Most targets that are remembered as leaving.
+const MAX_LEAVING_TARGETS: usize = 256;
+
 /// State that the thread for callers and the control thread share.
 #[derive(Debug)]
 pub struct HostContext {
@@ -35,6 +39,8 @@
     pub store: Arc<RowStore>,
     /// Open connections to targets, for reuse.
     pub pool: ConnectionPool,
+    /// Targets that said in a response that they are about to stop; the control thread takes them out of the view.
+    pub leaving_targets: watch::Sender<Vec<LeavingTarget>>,
     /// Whether this host reaches targets over its own links.
     pub links: LinkTable,
     /// Load of the targets that this host uses; see [`Self::with_loads`].
@@ -101,9 +107,34 @@
         }
     }
 
+    /// Records what a response of a target says of the target itself.
+    pub fn record_notices(&self, target: &TargetEntry, head: &TargetHead) {
+        self.record_limit(&target.id, head);
+        if head.is_leaving && !head.is_misdirected {
+            self.record_leaving(target);
+        }
+    }
+
+    fn record_leaving(&self, target: &TargetEntry) {
+        let leaving = LeavingTarget { target: target.id.clone(), started_ms: target.started_ms };
+        let is_new = self.leaving_targets.send_if_modified(|known| {
+            let is_new = !known.contains(&leaving);
+            if is_new {
+                // The oldest have gone long since.
+                let excess = (known.len() + 1).saturating_sub(MAX_LEAVING_TARGETS);
+                known.drain(..excess);
+                known.push(leaving.clone());
+            }
+            is_new
+        });
+        if is_new {
+            log::info!(target = target.id, domain = target.domain; "target_leaves");
+        }
+    }
+
     /// Records the rate limit that a response of a target announces. A response to a request that was run ends an earlier
     /// limit if it announces none; a refusal says nothing about that, and a misdirected request reached another target.
-    pub fn record_limit(&self, target: &str, head: &TargetHead) {
+    fn record_limit(&self, target: &str, head: &TargetHead) {
         let rate = head.rate_limit;
         if head.is_misdirected || (head.is_not_run && rate.is_none()) {
             return;
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -101,6 +101,7 @@
         view,
         store: Arc::new((dependencies.new_store)()),
         pool: ConnectionPool::for_targets(),
+        leaving_targets: watch::Sender::new(Vec::new()),
         links: LinkTable::default(),
         loads: Mutex::new(LoadTable::new()),
         board: JobCache::new(),
--- a/src/fleet/fleet_state.rs
+++ b/src/fleet/fleet_state.rs
@@ -4,7 +4,7 @@
 //! two seconds after the store answers again. An entry that is missing right after an outage is therefore kept in the
 //! view for that time, and dropped if it is still missing then.
 
-use crate::fleet::fleet_view::{FleetView, MemberEntry, NamedVersion, TargetEntry};
+use crate::fleet::fleet_view::{FleetView, MemberEntry, NamedVersion, TargetEntry, TargetState};
 use crate::fleet::member_row::MemberRow;
 use crate::fleet::service_map::ServiceMap;
 use crate::prelude::*;
@@ -36,6 +36,15 @@
 /// Function that decodes a row; the host's time serves to convert durations in the row to points in time.
 pub type RowDecoder = fn(&StoredRow, BootTime) -> FleetChange;
 
+/// A target that said in a response that it is about to stop. A later start under the same id is another one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeavingTarget {
+    /// Id of the target.
+    pub target: TargetId,
+    /// Start of its process, as in its entry.
+    pub started_ms: Option<u64>,
+}
+
 #[derive(Debug, Clone)]
 struct MissingEntry {
     target: TargetId,
@@ -47,6 +56,8 @@
 pub struct FleetState {
     view: FleetView,
     missing: Vec<MissingEntry>,
+    /// Targets that leave although their entries may not say so yet.
+    leaving: Vec<LeavingTarget>,
     is_target_store_down: bool,
     target_store_back_at: Option<BootTime>,
 }
@@ -119,6 +130,25 @@
         self.expire_missing(now) || is_changed
     }
 
+    /// Takes targets that said that they leave out of service, whatever their entries say; returns whether the view changed.
+    pub fn set_leaving(&mut self, leaving: &[LeavingTarget]) -> bool {
+        leaving.clone_into(&mut self.leaving);
+        let is_affected = |target: &TargetEntry| target.state == TargetState::Ready && self.is_leaving(target);
+        if !self.view.targets.iter().any(is_affected) {
+            return false;
+        }
+        let mut targets = self.view.targets.to_vec();
+        for target in targets.iter_mut().filter(|target| self.is_leaving(target)) {
+            target.state = TargetState::Leaving;
+        }
+        self.view.targets = Arc::new(targets);
+        true
+    }
+
+    fn is_leaving(&self, target: &TargetEntry) -> bool {
+        self.leaving.iter().any(|known| known.target == target.id && known.started_ms == target.started_ms)
+    }
+
     /// Applies an event of the table of hosts; returns whether the store answered.
     pub fn apply_members(&mut self, event: &WatchEvent, now: BootTime) -> bool {
         let rows = match event {
@@ -172,7 +202,10 @@
         }
     }
 
-    fn apply_target(&mut self, target: TargetEntry) -> bool {
+    fn apply_target(&mut self, mut target: TargetEntry) -> bool {
+        if self.is_leaving(&target) {
+            target.state = TargetState::Leaving;
+        }
         self.missing.retain(|missing| missing.target != target.id);
         // Most events renew an unchanged entry. The list, which readers share, is copied only for a change.
         match self.view.targets.binary_search_by(|known| known.id.cmp(&target.id)) {
--- a/src/jobs/grading_run.rs
+++ b/src/jobs/grading_run.rs
@@ -96,7 +96,7 @@
         if target_head.request_id.as_deref() != Some(self.grading.id.as_str()) {
             return GradingOutcome::Lost;
         }
-        self.context.record_limit(&self.target.id, &target_head);
+        self.context.record_notices(&self.target, &target_head);
         if read_body(body, MAX_BODY_BYTES).await.is_err() {
             return GradingOutcome::Lost;
         }
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -211,7 +211,7 @@
         if !target_head.answers(&self.item.id, is_reused) {
             return (RunOutcome::Broken, 0);
         }
-        self.context.record_limit(&self.target.id, &target_head);
+        self.context.record_notices(&self.target, &target_head);
         if head.status != StatusCode::OK || target_head.is_not_run {
             let outcome = match head.status {
                 _ if target_head.is_misdirected => RunOutcome::Misdirected,
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -383,7 +383,7 @@
         record_target_failure(context, relay, &target, ExchangeError::Broken);
         return AttemptOutcome::Lost;
     }
-    context.record_limit(&target.id, &target_head);
+    context.record_notices(&target, &target_head);
     if target_head.is_not_run || target_head.is_misdirected {
         context.with_loads(|loads| {
             if target_head.is_misdirected {
--- a/src/relay/target_codec.rs
+++ b/src/relay/target_codec.rs
@@ -53,6 +53,8 @@
     pub version: Option<WeightVersion>,
     /// Idle timeout of the connection; zero when the target closes the connection, `None` when none is announced.
     pub idle_limit: Option<Duration>,
+    /// Whether the target says that it is about to stop.
+    pub is_leaving: bool,
     /// Requests that the target takes from all hosts together; `None` when it announces no limit.
     pub rate_limit: Option<MilliRate>,
 }
--- a/src/relay/target_relay.rs
+++ b/src/relay/target_relay.rs
@@ -327,6 +327,7 @@
     if !target_head.answers(&request_id, is_reused) {
         return relay_error(ExchangeError::Broken);
     }
+    context.record_notices(target, &target_head);
     strip_connection_headers(&mut head.headers);
     let body = ForwardedBody {
         body,
--- a/tests/integration/fleet/state.rs
+++ b/tests/integration/fleet/state.rs
@@ -1,7 +1,8 @@
 //! Events of watched tables merged into the view of the installation.
 
 use camphorspring::clock::BootTime;
-use camphorspring::fleet::fleet_state::{FleetChange, FleetState};
+use camphorspring::fleet::fleet_state::{FleetChange, FleetState, LeavingTarget};
+use camphorspring::fleet::fleet_view::TargetEntry;
 use camphorspring::row_store::table_watch::WatchEvent;
 use camphorspring::row_store::{StoreCallError, StoredRow};
 use googletest::prelude::*;
@@ -65,3 +66,30 @@
     let version = state.view().services.as_ref().map(|services| services.version);
     expect_that!((is_changed, version), eq((true, Some(7))));
 }
+
+/// Guards against a target that said that it leaves and is used again, because its entry does not say so or is missing for a
+/// moment, and against a later start under its id that is not used.
+#[gtest]
+fn targets_that_leave_are_not_used_whatever_their_entries_say() {
+    let mut state = FleetState::new();
+    let started = |key: &str, value: &[u8]| StoredRow { value: Some(value.to_vec()), ..row(key, true) };
+    let decode_start = |row: &StoredRow, now: BootTime| match (decode(row, now), row.value.as_deref()) {
+        (FleetChange::Target(target), Some([start])) => {
+            FleetChange::Target(TargetEntry { started_ms: Some(u64::from(*start)), ..target })
+        }
+        (change, _) => change,
+    };
+    let usable = |state: &FleetState| -> Vec<String> {
+        state.view().usable_targets("models").map(|target| target.id.clone()).collect()
+    };
+    state.apply_targets(&WatchEvent::Loaded(vec![started("a", &[1]), started("b", &[1])]), decode_start, at(0));
+    let leaving = LeavingTarget { target: "a".to_owned(), started_ms: Some(1) };
+    expect_that!(state.set_leaving(std::slice::from_ref(&leaving)), eq(true));
+    expect_that!(usable(&state), eq(&vec!["b".to_owned()]));
+    state.apply_targets(&WatchEvent::Changed(vec![started("a", &[1])]), decode_start, at(100));
+    state.apply_targets(&WatchEvent::Changed(vec![row("a", false)]), decode_start, at(200));
+    state.apply_targets(&WatchEvent::Changed(vec![started("a", &[1])]), decode_start, at(300));
+    expect_that!(usable(&state), eq(&vec!["b".to_owned()]));
+    state.apply_targets(&WatchEvent::Changed(vec![started("a", &[2])]), decode_start, at(400));
+    expect_that!(usable(&state), eq(&vec!["a".to_owned(), "b".to_owned()]));
+}
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -50,6 +50,7 @@
             is_misdirected: head.status == 421,
             version: value("version").and_then(|version| version.parse().ok()),
             idle_limit: None,
+            is_leaving: value("leaving").is_some(),
             rate_limit: value("rate-limit").and_then(|rate| rate.parse().ok()),
         }
     },
@@ -92,6 +93,7 @@
         loads: Mutex::new(LoadTable::new()),
         board: JobCache::new(),
         usage: UsageCounter::new(at(5000)),
+        leaving_targets: tokio::sync::watch::Sender::new(Vec::new()),
         links: camphorspring::relay::target_relay::LinkTable::default(),
         crashes: camphorspring::relay::crash_reports::CrashReports::default(),
         stream_origins: StreamOrigins::default(),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,6 +11,7 @@
 mod crashing_requests;
 mod fault_plan;
 mod installation;
+mod leaving;
 mod limits;
 mod links;
 mod load;
