--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -17,6 +17,7 @@
 mod jobs;
 mod log_bounds;
 mod memory_store;
+mod odd_entries;
 mod operator;
 mod orders;
 mod peer_frames;
