Test streams at a host that is out of step, and streams that break under errors of other engines

Two reports of others could not be reproduced: a host that stood still or was cut off from the store while engines of another version joined refuses to continue a stream until it reads where it began; and a broken stream ends with its connection, without other text and without looking complete, also through a peer.

--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -1,10 +1,12 @@
 //! Streams that callers take up after they broke off, while engines of two versions of their software serve.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use camphorspring_standins::{FaultKind, FaultSpec, RelayCommand, RelayDirection};
 use googletest::prelude::*;
+use rustix::process::Signal;
 
 use crate::installation::{CALLER_HOST, CALLER_KEY, HOST_COUNT, START_TIMEOUT, SoakInstallation};
 use crate::software::{check_streams, engines, restart_all_hosts};
@@ -136,3 +138,59 @@
     check_streams(&installation);
     expect_that!(resumed, eq(0));
 }
+
+/// Guards against a stream that goes on at another version of the software because the host at which its caller takes it up stood
+/// still, or was cut off from the store, while engines of that version joined.
+#[gtest]
+fn streams_are_not_joined_at_a_host_that_is_out_of_step() {
+    let installation = SoakInstallation::start(1_104);
+    assert!(installation.wait_until_hosts_known(0, START_TIMEOUT), "the first host does not learn of the others");
+    installation.signal_host(0, Signal::STOP);
+    installation.hosts[1].store_relay.order(RelayCommand::Cut { direction: RelayDirection::Both });
+    engines(&installation)[0].standin.release("2");
+    engines(&installation)[1].standin.release("2");
+    std::thread::sleep(Duration::from_secs(2));
+    // Streams begin at both versions, at the host that is in step.
+    let mut streams = Vec::new();
+    for number in 0..STREAM_COUNT {
+        let stream = CallerStream::open(&installation, 2, &format!("stream-{number}"), None);
+        let mut stream = stream.filter(CallerStream::is_ok).expect("the host begins the stream");
+        assert_eq!(stream.read_until(BROKEN_AFTER), BROKEN_AFTER);
+        streams.push(stream);
+    }
+    drop(streams);
+    installation.signal_host(0, Signal::CONT);
+    let resumed = take_streams_up(&installation);
+    check_streams(&installation);
+    expect_that!(resumed, ge(STREAM_COUNT / 2));
+}
+
+/// Guards against callers who find an error, or the events of another run, in the middle of a stream, or whose broken stream looks
+/// complete: the engine ends under the stream and all others answer with errors. The first host sends through its peers.
+#[gtest]
+fn broken_streams_end_without_further_text() {
+    let installation = SoakInstallation::start_with_own_links(1_105);
+    assert!((0..HOST_COUNT).all(|host| installation.wait_until_hosts_known(host, START_TIMEOUT)));
+    for link in &installation.hosts[0].target_links {
+        link.order(RelayCommand::Refuse);
+    }
+    let streams = begin_streams(&installation);
+    for engine in engines(&installation) {
+        engine.server.fault(FaultSpec::new(FaultKind::Refuse));
+        engine.standin.restart();
+    }
+    for (number, mut stream) in streams.into_iter().enumerate() {
+        let mut rest = Vec::new();
+        // A connection that is reset ends with an error, as it should.
+        let _ = stream.lines.read_to_end(&mut rest);
+        let rest = String::from_utf8_lossy(&rest);
+        let is_event_line = |line: &str| {
+            let is_chunk_size = !line.is_empty() && line.bytes().all(|byte| byte.is_ascii_hexdigit());
+            let data = format!("data: stream-{number}:");
+            line.is_empty() || is_chunk_size || line.starts_with("id: ") || line.starts_with(&data)
+        };
+        let other_lines: Vec<&str> = rest.lines().filter(|line| !is_event_line(line)).collect();
+        expect_that!(other_lines, is_empty());
+        expect_that!(rest.ends_with("\r\n0\r\n\r\n"), eq(false));
+    }
+}
