Report requests that end unanswered when a target ends without breaking its connections

Seen on stand-ins: with targets that lose power under a request, 44 submissions ended 44 targets, 34 of them later than 3 s after the third. Cause: only broken connections were reported, and only while the entry of the target was still there. An attempt that ends unanswered after 0.25 s or more is now reported too, also when the entry went meanwhile.

Evidence: crashing_requests::request_that_ends_targets_silently_is_not_sent_on failed before (34 late) and passes (1 late, 6 in all).

--- a/src/relay/crash_reports.rs
+++ b/src/relay/crash_reports.rs
@@ -36,6 +36,9 @@
 /// Delay of the write of a report, in which further ones of the same crash join it.
 const WRITE_DELAY: Duration = Duration::from_millis(10);
 
+/// Shortest time for which a target goes on after it has removed its entry.
+const LEAVING_TIME: Duration = Duration::from_secs(2);
+
 /// Most rows of one transaction, the limit of the stores.
 const MAX_ROWS: usize = 100;
 
@@ -148,15 +151,18 @@
     (context.store.store_time)().map_or(0, whole_millis)
 }
 
-/// Reports that the connection to a target broke before it had answered a request. A target that is leaving, or of which
-/// there is no entry any more, may end its connections as planned.
-pub fn report_break(context: &HostContext, fingerprint: &str, target: &TargetEntry) {
-    let is_serving = context
-        .view()
-        .target(&target.id)
-        .is_some_and(|entry| entry.started_ms == target.started_ms && entry.state == TargetState::Ready);
+/// Reports that a target did not answer a request that was sent to it at `sent_at`: its connection broke, or the caller's
+/// patience ended. A target that leaves as planned may end its connections.
+pub fn report_unanswered(context: &HostContext, fingerprint: &str, target: &TargetEntry, sent_at: BootTime) {
+    let view = context.view();
+    let entry = view.target(&target.id).filter(|entry| entry.started_ms == target.started_ms);
+    // A target that leaves without saying so goes on for a while after its entry has gone.
+    let may_be_leaving = match entry {
+        Some(entry) => entry.state == TargetState::Leaving,
+        None => boot_time().saturating_sub(sent_at) >= LEAVING_TIME,
+    };
     // All connections of a host whose links are cut break.
-    if !is_serving || context.links.is_cut_for_certain() {
+    if may_be_leaving || context.links.is_cut_for_certain() {
         return;
     }
     let report = CrashReport {
@@ -170,7 +176,7 @@
     let is_added = context.crashes.lock().add_own(report, boot_time());
     let outcome = if is_added { "reported" } else { "too_many" };
     context.metrics.crash_reports.with_label_values(&[outcome]).inc();
-    log::info!(fingerprint = fingerprint, target = target.id, outcome = outcome; "target_broke_connection");
+    log::info!(fingerprint = fingerprint, target = target.id, outcome = outcome; "target_did_not_answer");
     context.crashes.changed.notify_one();
 }
 
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -22,7 +22,7 @@
 use crate::prelude::*;
 use crate::relay::attempt_plan::{ChoiceContext, choose_target, hedge_delay};
 use crate::relay::connection_pool::{Exchange, ExchangeError, PooledConnection};
-use crate::relay::crash_reports::{admit_request, report_break};
+use crate::relay::crash_reports::{admit_request, report_unanswered};
 use crate::relay::event_reader::EventReader;
 use crate::relay::reply::{BodyError, ResponseBody, code_reply, whole_body};
 use crate::relay::stream_origins::StreamOrigin;
@@ -55,6 +55,9 @@
 /// A forwarded response may pause for this many times the objective of its route.
 const STREAM_PAUSE_OBJECTIVES: u32 = 4;
 
+/// Shortest time after which an attempt without an answer is reported; callers leave many requests sooner.
+const MIN_UNANSWERED_TIME: Duration = Duration::from_millis(250);
+
 /// Outcome of one attempt.
 #[derive(Debug)]
 enum AttemptOutcome {
@@ -353,6 +356,24 @@
     Some((target, running_request))
 }
 
+/// Reports an attempt that ends without an answer after [`MIN_UNANSWERED_TIME`], such as at its deadline: a target that loses
+/// power does not break its connections.
+struct UnansweredAttempt<'a> {
+    context: &'a HostContext,
+    relay: &'a RelayRequest<'a>,
+    target: &'a TargetEntry,
+    started_at: BootTime,
+    is_answered: bool,
+}
+
+impl Drop for UnansweredAttempt<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered && boot_time().saturating_sub(self.started_at) >= MIN_UNANSWERED_TIME {
+            report_unanswered(self.context, self.relay.fingerprint(), self.target, self.started_at);
+        }
+    }
+}
+
 async fn run_attempt(
     context: &Arc<HostContext>,
     relay: &RelayRequest<'_>,
@@ -365,12 +386,16 @@
     let started = Instant::now();
     let options = SendOptions { target: &target.id, deadline: deadline.saturating_sub(now), resume_after: None };
     let Ok(request) = (context.target_codec.encode)(&relay.request, &options) else { return AttemptOutcome::NotRun };
-    let exchange = match send_to_target(context, &target, request, rule).await {
+    let mut attempt = UnansweredAttempt { context, relay, target: &target, started_at: now, is_answered: false };
+    let sent = send_to_target(context, &target, request, rule).await;
+    attempt.is_answered = true;
+    drop(attempt);
+    let exchange = match sent {
         Ok(exchange) => exchange,
         Err(error) => {
             record_target_failure(context, relay, &target, error);
             if error == ExchangeError::Broken {
-                report_break(context, relay.fingerprint(), &target);
+                report_unanswered(context, relay.fingerprint(), &target, now);
             }
             return if error == ExchangeError::NotConnected { AttemptOutcome::NotRun } else { AttemptOutcome::Lost };
         }
@@ -425,6 +450,7 @@
     started: Instant,
 ) -> AttemptOutcome {
     let TargetResponse { head, mut body, target_head, connection, running_request } = response;
+    let sent_at = boot_time().saturating_sub(started.elapsed());
     let is_stream = head
         .headers
         .get(CONTENT_TYPE)
@@ -442,7 +468,7 @@
             Some(Ok(frame)) => buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
             Some(Err(_)) => {
                 record_target_failure(context, relay, target, ExchangeError::Broken);
-                report_break(context, relay.fingerprint(), target);
+                report_unanswered(context, relay.fingerprint(), target, sent_at);
                 return AttemptOutcome::Lost;
             }
         }
@@ -453,6 +479,7 @@
         request_id: relay.request.request_id.clone(),
         fingerprint: relay.fingerprint().clone(),
         target: target.clone(),
+        sent_at,
         events: is_stream.then(EventReader::new),
         pause_limit,
         stalls_at: tokio::time::Instant::now() + pause_limit,
@@ -483,6 +510,7 @@
     request_id: RequestId,
     fingerprint: Fingerprint,
     target: TargetEntry,
+    sent_at: BootTime,
     /// Finds the events of an event stream; `None` when any data counts as progress.
     events: Option<EventReader>,
     /// Time without progress after which the response breaks off.
@@ -503,10 +531,11 @@
             Some((Ok(frame), streamed))
         }
         Ok(Some(Err(error))) => {
-            report_break(&streamed.context, &streamed.fingerprint, &streamed.target);
+            report_unanswered(&streamed.context, &streamed.fingerprint, &streamed.target, streamed.sent_at);
             Some((Err(error.into()), streamed))
         }
         Err(_) => {
+            report_unanswered(&streamed.context, &streamed.fingerprint, &streamed.target, streamed.sent_at);
             log::info!(request = streamed.request_id, pause_ms = whole_millis(streamed.pause_limit); "response_stalled");
             Some((Err("the target stalled".into()), streamed))
         }
--- a/src/relay/target_relay.rs
+++ b/src/relay/target_relay.rs
@@ -48,10 +48,7 @@
 const HANDOVER_DELAY: Duration = Duration::from_secs(1);
 
 /// Most requests of other hosts that a host has in flight; further ones are refused.
-const MAX_FORWARDED: usize = 512;
-
-/// Largest body of a request that is passed on.
-const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+const MAX_FORWARDED: usize = 256;
 
 /// Links of this host to targets, shared by its tasks.
 #[derive(Debug, Default)]
@@ -312,7 +309,8 @@
     // This host may know that a target is leaving before the sender does.
     let usable = target.filter(|target| target.state == TargetState::Ready && !view.is_closed(&target.domain));
     let Some(target) = usable else { return not_sent() };
-    let Ok(body) = read_body(body, MAX_BODY_BYTES).await else { return not_sent() };
+    let body_limit = view.services.as_ref().map_or(0, |services| services.limits.body_bytes);
+    let Ok(body) = read_body(body, body_limit).await else { return not_sent() };
     strip_connection_headers(&mut head.headers);
     let request = Request::from_parts(head, SendBody::new(body));
     let exchange = match send_directly(context, pool, target, request, false).await {
--- a/tests/soak/crashing_requests.rs
+++ b/tests/soak/crashing_requests.rs
@@ -10,7 +10,7 @@
 use crate::installation::{HOST_COUNT, START_TIMEOUT, SoakInstallation};
 use crate::load::send_request;
 use crate::stand_ins::callers::{DEADLINE_HEADER, REQUEST_ID_HEADER};
-use crate::stand_ins::target::{CRASHING_BODY, EVENTS_HEADER, RUN_TIME_HEADER};
+use crate::stand_ins::target::{CRASHING_BODY, EVENTS_HEADER, RUN_TIME_HEADER, SILENTLY_CRASHING_BODY};
 
 /// Times that a caller sends the same request, each time with another id.
 const SUBMISSION_COUNT: usize = 44;
@@ -42,18 +42,20 @@
     sound_served: usize,
 }
 
-/// Sends a request with [`CRASHING_BODY`] to all hosts in turn, and a sound one beside it. `disturb` is called before each
-/// submission.
+/// Sends a request with this body, which crashes targets, to all hosts in turn, and a sound one beside it. `disturb` is called
+/// before each submission.
 fn submit_crashing_request(
     installation: &SoakInstallation,
     path: &str,
+    crashing_body: &str,
     headers: &[(&str, &str)],
     disturb: impl Fn(usize),
 ) -> CrashTally {
     let agent = http_agent(Duration::from_millis(500), Duration::from_secs(3));
     let send = |host: usize, id: &str, body: &str| {
         let url = format!("{}{path}", installation.caller_url(host));
-        let headers = [&[(REQUEST_ID_HEADER, id), (DEADLINE_HEADER, "2000")], headers].concat();
+        // The first value of a header counts.
+        let headers = [headers, &[(REQUEST_ID_HEADER, id), (DEADLINE_HEADER, "2000")]].concat();
         send_request(&agent, "POST", &url, &headers, Some(body)).map(|response| response.status)
     };
     let sound_served = AtomicUsize::new(0);
@@ -66,7 +68,7 @@
                 let status = send((number + 1) % HOST_COUNT, &format!("sound-{number}"), "sound");
                 sound_served.fetch_add(usize::from(status == Some(200)), Ordering::Relaxed);
             });
-            statuses.push(send(number % HOST_COUNT, &format!("crash-{number}"), CRASHING_BODY));
+            statuses.push(send(number % HOST_COUNT, &format!("crash-{number}"), crashing_body));
         });
         std::thread::sleep(SUBMISSION_INTERVAL.saturating_sub(started_at.elapsed()));
     }
@@ -103,7 +105,7 @@
             scope.spawn(move || {
                 let installation = SoakInstallation::start(1_300);
                 assert!(installation.wait_until_hosts_known(0, START_TIMEOUT), "a host does not learn of the others");
-                let tally = submit_crashing_request(&installation, path, headers, |_| {});
+                let tally = submit_crashing_request(&installation, path, CRASHING_BODY, headers, |_| {});
                 (installation, path, tally)
             })
         });
@@ -129,10 +131,25 @@
         }
         _ => {}
     };
-    let tally = submit_crashing_request(&installation, "/once/book", &[], disturb);
+    let tally = submit_crashing_request(&installation, "/once/book", CRASHING_BODY, &[], disturb);
     check_tally(&installation, "killed and cut off", &tally);
 }
 
+/// Guards against a request that ends targets without breaking their connections, so that callers wait until their deadline.
+#[gtest]
+fn request_that_ends_targets_silently_is_not_sent_on() {
+    let installation = SoakInstallation::start(1_305);
+    assert!(installation.wait_until_hosts_known(0, START_TIMEOUT), "the first host does not learn of the others");
+    let tally = submit_crashing_request(
+        &installation,
+        "/once/book",
+        SILENTLY_CRASHING_BODY,
+        &[(DEADLINE_HEADER, "400")],
+        |_| {},
+    );
+    check_tally(&installation, "silent", &tally);
+}
+
 /// Guards against a sound request that is taken for the cause of crashes: callers repeat it all the time at all hosts, so that
 /// it is in flight in each crash of a burst.
 #[gtest]
