Hold requests back for targets that broke connections or ended, not for slow ones

Found by reading: a request that ended unanswered, as at its deadline, counted at once, and so did the slower attempt of a request that another target had answered; three slow targets would have held back a sound request that is repeated. Such reports now count, and are stored, only once the target has ended, and an answered request makes none. A cut ends the backoffs of targets when a probe has failed.

Evidence: fleet::crashes::unanswered_requests_count_when_their_targets_have_ended; the tests of crashing requests and of cut links pass.

--- a/src/fleet/crash_table.rs
+++ b/src/fleet/crash_table.rs
@@ -1,7 +1,8 @@
 //! Decides which requests are held back because targets crash under them, without I/O.
 //!
 //! Each host that loses a connection with an unanswered request reports the request and the target to all hosts. That is no
-//! proof: the link may have been reset, or the target may have crashed for another reason. Two facts tell these apart.
+//! proof: the link may have been reset, or the target may have crashed for another reason. Two facts tell these apart. A
+//! request that ended unanswered on an open connection, as at its deadline, counts only once its target has ended.
 //!
 //! - The entry of the target goes, or shows another start, within a few seconds after a crash. A target that renews its entry
 //!   instead has not crashed, and the report is dropped.
@@ -53,7 +54,7 @@
 /// Start of the keys of trials.
 pub const TRIAL_KEY_PREFIX: &str = "trial/";
 
-/// A connection that broke while a request was unanswered on a target, as its row in the store holds it.
+/// A request that a target did not answer, as its row in the store holds it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Request in flight.
@@ -66,6 +67,8 @@
     pub at_ms: u64,
     /// Host that sent the request.
     pub host: HostId,
+    /// Whether the connection broke; otherwise the request ended unanswered, which shows nothing until the target has ended.
+    pub is_broken: bool,
     /// Whether the target is known to have ended.
     pub is_confirmed: bool,
 }
@@ -152,6 +155,11 @@
     fn is_settled(&self) -> bool {
         self.report.is_confirmed || self.ended_at.is_some()
     }
+
+    /// Whether the report counts against the request.
+    fn counts(&self) -> bool {
+        self.report.is_broken || self.is_settled()
+    }
 }
 
 /// Reports and trials of all hosts since the last answers to the requests.
@@ -198,6 +206,7 @@
             Ok(position) => {
                 let known = &mut self.reports[position];
                 known.report.is_confirmed |= new.report.is_confirmed;
+                known.report.is_broken |= new.report.is_broken;
                 if is_stored {
                     known.is_stored = new.report.is_confirmed || known.ended_at.is_none();
                 }
@@ -294,6 +303,7 @@
     pub fn check(&self, fingerprint: &str, store_ms: u64) -> CrashVerdict {
         let first = self.reports.partition_point(|known| known.report.fingerprint.as_str() < fingerprint);
         let reports = self.reports[first..].iter().take_while(|known| known.report.fingerprint == fingerprint);
+        let reports = reports.filter(|known| known.counts());
         let trials = self.trials.iter().filter(|trial| trial.fingerprint == fingerprint);
         let number = trials.clone().map(|trial| trial.number + 1).max().unwrap_or_default();
         let times = reports.clone().map(|known| known.report.at_ms).chain(trials.map(|trial| trial.at_ms));
@@ -321,7 +331,7 @@
     pub fn reports_to_store(&self, own_host: &str, now: BootTime) -> Vec<CrashReport> {
         let is_due = |known: &&KnownReport| {
             let is_overdue = known.ended_at.is_some_and(|at| now.saturating_sub(at) >= OTHER_HOSTS_DELAY);
-            !known.is_stored && (known.report.host == own_host || is_overdue)
+            !known.is_stored && known.counts() && (known.report.host == own_host || is_overdue)
         };
         let due = self.reports.iter().filter(is_due);
         due.map(|known| CrashReport { is_confirmed: known.is_settled(), ..known.report.clone() }).collect()
@@ -346,6 +356,6 @@
     #[must_use]
     pub fn held_requests(&self) -> usize {
         let groups = self.reports.chunk_by(|one, other| one.report.fingerprint == other.report.fingerprint);
-        groups.filter(|group| group.len() >= HOLD_LIMIT).count()
+        groups.filter(|group| group.iter().filter(|known| known.counts()).count() >= HOLD_LIMIT).count()
     }
 }
--- a/src/relay/crash_reports.rs
+++ b/src/relay/crash_reports.rs
@@ -152,8 +152,14 @@
 }
 
 /// Reports that a target did not answer a request that was sent to it at `sent_at`: its connection broke, or the caller's
-/// patience ended. A target that leaves as planned may end its connections.
-pub fn report_unanswered(context: &HostContext, fingerprint: &str, target: &TargetEntry, sent_at: BootTime) {
+/// patience ended on an open one. A target that leaves as planned may end its connections.
+pub fn report_unanswered(
+    context: &HostContext,
+    fingerprint: &str,
+    target: &TargetEntry,
+    sent_at: BootTime,
+    is_broken: bool,
+) {
     let view = context.view();
     let entry = view.target(&target.id).filter(|entry| entry.started_ms == target.started_ms);
     // A target that leaves without saying so goes on for a while after its entry has gone.
@@ -171,12 +177,13 @@
         started_ms: target.started_ms,
         at_ms: store_ms(context),
         host: context.settings.host.clone(),
+        is_broken,
         is_confirmed: false,
     };
     let is_added = context.crashes.lock().add_own(report, boot_time());
     let outcome = if is_added { "reported" } else { "too_many" };
     context.metrics.crash_reports.with_label_values(&[outcome]).inc();
-    log::info!(fingerprint = fingerprint, target = target.id, outcome = outcome; "target_did_not_answer");
+    log::info!(fingerprint = fingerprint, target = target.id, broken = is_broken, outcome = outcome; "target_did_not_answer");
     context.crashes.changed.notify_one();
 }
 
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -4,6 +4,7 @@
 //! read whole before they are forwarded, so that another attempt can replace a response that breaks off.
 
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
@@ -181,6 +182,7 @@
         StreamStart::NotResumable | StreamStart::Begin => None,
     };
     let mut attempted: Vec<TargetId> = Vec::new();
+    let is_answered = AtomicBool::new(false);
     // Targets of all attempts, with the times at which these began.
     let mut running_targets: Vec<(TargetEntry, BootTime)> = Vec::new();
     let mut running_attempts = FuturesUnordered::new();
@@ -218,7 +220,7 @@
             let prefers_peers = has_silent_attempt && context.links.is_doubtful();
             let rule = SendRule { is_repeatable, prefers_peers };
             running_targets.push((target.clone(), boot_time()));
-            running_attempts.push(run_attempt(context, relay, target, running_request, deadline, rule));
+            running_attempts.push(run_attempt(context, relay, target, running_request, deadline, rule, &is_answered));
             trace.may_have_run = true;
         }
         if running_attempts.is_empty() {
@@ -240,7 +242,10 @@
             }
             Some(Some(AttemptOutcome::Lost)) => trace.has_trial = false,
             Some(None) => return Err(final_code(trace, ResultCode::NoTarget)),
-            Some(Some(AttemptOutcome::Answered(response))) => return Ok(response),
+            Some(Some(AttemptOutcome::Answered(response))) => {
+                is_answered.store(true, Ordering::Release);
+                return Ok(response);
+            }
             Some(Some(AttemptOutcome::TargetFailed(response))) => error_response = Some(response),
             Some(Some(AttemptOutcome::NotRun)) => {
                 trace.attempts -= 1;
@@ -363,13 +368,17 @@
     relay: &'a RelayRequest<'a>,
     target: &'a TargetEntry,
     started_at: BootTime,
-    is_answered: bool,
+    /// Whether this attempt has ended by itself.
+    has_ended: bool,
+    /// Whether another attempt has answered the request.
+    is_answered: &'a AtomicBool,
 }
 
 impl Drop for UnansweredAttempt<'_> {
     fn drop(&mut self) {
-        if !self.is_answered && boot_time().saturating_sub(self.started_at) >= MIN_UNANSWERED_TIME {
-            report_unanswered(self.context, self.relay.fingerprint(), self.target, self.started_at);
+        let is_unanswered = !self.has_ended && !self.is_answered.load(Ordering::Acquire);
+        if is_unanswered && boot_time().saturating_sub(self.started_at) >= MIN_UNANSWERED_TIME {
+            report_unanswered(self.context, self.relay.fingerprint(), self.target, self.started_at, false);
         }
     }
 }
@@ -381,21 +390,23 @@
     running_request: RunningRequest,
     deadline: BootTime,
     rule: SendRule,
+    is_answered: &AtomicBool,
 ) -> AttemptOutcome {
     let now = boot_time();
     let started = Instant::now();
     let options = SendOptions { target: &target.id, deadline: deadline.saturating_sub(now), resume_after: None };
     let Ok(request) = (context.target_codec.encode)(&relay.request, &options) else { return AttemptOutcome::NotRun };
-    let mut attempt = UnansweredAttempt { context, relay, target: &target, started_at: now, is_answered: false };
+    let mut attempt =
+        UnansweredAttempt { context, relay, target: &target, started_at: now, has_ended: false, is_answered };
     let sent = send_to_target(context, &target, request, rule).await;
-    attempt.is_answered = true;
+    attempt.has_ended = true;
     drop(attempt);
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(error) => {
             record_target_failure(context, relay, &target, error);
             if error == ExchangeError::Broken {
-                report_unanswered(context, relay.fingerprint(), &target, now);
+                report_unanswered(context, relay.fingerprint(), &target, now, true);
             }
             return if error == ExchangeError::NotConnected { AttemptOutcome::NotRun } else { AttemptOutcome::Lost };
         }
@@ -468,7 +479,7 @@
             Some(Ok(frame)) => buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
             Some(Err(_)) => {
                 record_target_failure(context, relay, target, ExchangeError::Broken);
-                report_unanswered(context, relay.fingerprint(), target, sent_at);
+                report_unanswered(context, relay.fingerprint(), target, sent_at, true);
                 return AttemptOutcome::Lost;
             }
         }
@@ -531,11 +542,11 @@
             Some((Ok(frame), streamed))
         }
         Ok(Some(Err(error))) => {
-            report_unanswered(&streamed.context, &streamed.fingerprint, &streamed.target, streamed.sent_at);
+            report_unanswered(&streamed.context, &streamed.fingerprint, &streamed.target, streamed.sent_at, true);
             Some((Err(error.into()), streamed))
         }
         Err(_) => {
-            report_unanswered(&streamed.context, &streamed.fingerprint, &streamed.target, streamed.sent_at);
+            report_unanswered(&streamed.context, &streamed.fingerprint, &streamed.target, streamed.sent_at, false);
             log::info!(request = streamed.request_id, pause_ms = whole_millis(streamed.pause_limit); "response_stalled");
             Some((Err("the target stalled".into()), streamed))
         }
--- a/src/relay/target_relay.rs
+++ b/src/relay/target_relay.rs
@@ -106,8 +106,6 @@
 pub fn record_unreachable(context: &Arc<HostContext>, target: &TargetEntry, since: BootTime, reason: &str) {
     if context.links.with(|links| links.record_unreachable(target.address, since, boot_time())) {
         log::warn!(target = target.id, reason = reason; "targets_unreachable_directly");
-        // What looked like failures of the targets was the cut.
-        context.with_loads(LoadTable::end_backoffs);
         spawn_due_probe(context);
     }
 }
@@ -254,7 +252,13 @@
     let Ok(request) = (context.target_codec.probe)(&target.id) else { return };
     context.with_loads(|loads| loads.record_arrival(&target.id, now));
     let exchange = tokio::time::timeout(PROBE_TIMEOUT, context.pool.send(target.address, request)).await;
-    let Ok(Ok(Exchange { response, connection, .. })) = exchange else { return };
+    let Ok(Ok(Exchange { response, connection, .. })) = exchange else {
+        if context.links.is_cut() {
+            // What looked like failures of the targets was the cut.
+            context.with_loads(LoadTable::end_backoffs);
+        }
+        return;
+    };
     context.links.record_answer();
     let (head, body) = response.into_parts();
     let idle_limit = (context.target_codec.decode)(&head).idle_limit;
--- a/tests/integration/fleet/crashes.rs
+++ b/tests/integration/fleet/crashes.rs
@@ -17,6 +17,7 @@
         started_ms: Some(1),
         at_ms,
         host: host.to_owned(),
+        is_broken: true,
         is_confirmed: false,
     }
 }
@@ -173,3 +174,18 @@
     expect_that!(added.count(), le(32));
     expect_that!(HOLD_LIMIT, le(3));
 }
+
+/// Guards against a request that is held back because targets were too slow for its callers, and against one that ends targets
+/// without breaking their connections.
+#[gtest]
+fn unanswered_requests_count_when_their_targets_have_ended() {
+    let mut table = CrashTable::default();
+    for target in ["e1", "e2", "e3"] {
+        table.add_own(CrashReport { is_broken: false, ..report(target, "h1", 1_000) }, at(1_000));
+    }
+    expect_that!(table.check("a", 1_100), eq(CrashVerdict::Free));
+    expect_that!(table.reports_to_store("h1", at(1_100)), is_empty());
+    table.settle(&view_of(&[], at(1_200)), at(1_200));
+    expect_that!(table.check("a", 1_200), eq(held_until_trial(0, 200)));
+    expect_that!(table.reports_to_store("h1", at(1_200)).len(), eq(3));
+}
