Catch SIGHUP from the start of a host on

Cause: the handler was installed only after the settings had been read and the threads started; until then the signal ends the process. It is now caught before the settings are read, and the settings are read again if one arrived meanwhile.

Evidence: reload::hangup_right_after_the_start_does_not_end_a_host failed before. A signal before the program's first instructions still ends it.

--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -55,8 +55,21 @@
 /// Function that reads and checks the settings file again; fails with the errors in the file.
 pub type SettingsLoader = Box<dyn Fn() -> Result<InstallationSettings, Vec<ConfigError>> + Send>;
 
+/// Keeps SIGHUP from ending the process from now on; the returned flag says whether one has arrived. To be called first, since the
+/// settings file may change at any time, also right after the start.
+#[must_use]
+pub fn catch_hangups() -> Arc<AtomicBool> {
+    let has_arrived = Arc::new(AtomicBool::new(false));
+    if let Err(error) = signal_hook::flag::register(signal_hook::consts::SIGHUP, Arc::clone(&has_arrived)) {
+        eprintln!("SIGHUP is not caught: {error}");
+    }
+    has_arrived
+}
+
 /// What the platform adapter passes in.
 pub struct HostDependencies {
+    /// Result of [`catch_hangups`], called before the settings were read.
+    pub early_hangup: Arc<AtomicBool>,
     /// Settings as read at the start.
     pub settings: InstallationSettings,
     /// Reads the settings file again; called on SIGHUP, on the thread that serves callers.
@@ -149,7 +162,7 @@
             );
         });
     })?;
-    build_runtime()?.block_on(serve_until_stopped(context, dependencies.reload))
+    build_runtime()?.block_on(serve_until_stopped(context, dependencies.reload, &dependencies.early_hangup))
 }
 
 fn parse_address(text: &str) -> std::io::Result<SocketAddr> {
@@ -165,7 +178,11 @@
     }
 }
 
-async fn serve_until_stopped(context: Arc<HostContext>, reload: SettingsLoader) -> std::io::Result<()> {
+async fn serve_until_stopped(
+    context: Arc<HostContext>,
+    reload: SettingsLoader,
+    early_hangup: &AtomicBool,
+) -> std::io::Result<()> {
     let mut stop_signal = signal(SignalKind::terminate())?;
     let mut reload_signal = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(&context.settings.caller_address).await?;
@@ -199,6 +216,9 @@
         address = context.settings.caller_address;
         "host_started"
     );
+    if early_hangup.load(Ordering::Acquire) {
+        reload_settings(&context.settings, &reload);
+    }
     loop {
         tokio::select! {
             _ = stop_signal.recv() => break,
