Probe the links to targets with a request that no target runs

Cause: the probe named the target, and only model engines answer the path without a run. It now names no target, so that each one refuses it.

--- a/src/relay/target_codec.rs
+++ b/src/relay/target_codec.rs
@@ -76,8 +76,8 @@
 pub struct TargetCodec {
     /// Encodes one attempt as an HTTP request; fails when a value is not valid in HTTP.
     pub encode: fn(&TargetRequest, &SendOptions<'_>) -> Result<Request<SendBody>, http::Error>,
-    /// Encodes a request that the target with this id answers without running anything.
-    pub probe: fn(&str) -> Result<Request<SendBody>, http::Error>,
+    /// Encodes a request that every target answers without running it.
+    pub probe: fn() -> Result<Request<SendBody>, http::Error>,
     /// Decodes the head of a response; what is missing or malformed counts as absent.
     pub decode: fn(&http::response::Parts) -> TargetHead,
     /// Parses a line of a stream event; `None` when the line names no weight version.
--- a/src/relay/target_relay.rs
+++ b/src/relay/target_relay.rs
@@ -249,7 +249,7 @@
         .collect();
     let turn = context.links.with(TargetLinks::next_turn);
     let Some(target) = turn.checked_rem(ready.len()).map(|position| ready[position]) else { return };
-    let Ok(request) = (context.target_codec.probe)(&target.id) else { return };
+    let Ok(request) = (context.target_codec.probe)() else { return };
     context.with_loads(|loads| loads.record_arrival(&target.id, now));
     let exchange = tokio::time::timeout(PROBE_TIMEOUT, context.pool.send(target.address, request)).await;
     let Ok(Ok(Exchange { response, connection, .. })) = exchange else {
