--- a/src/fleet/crash_table.rs
+++ b/src/fleet/crash_table.rs
@@ -77,7 +77,7 @@
     /// Key of the row, unique for the request and the incarnation of the target; hosts that report the same write one row.
     #[must_use]
     pub fn row_key(&self) -> String {
-        // Ids are long at most as store keys are, so that the key must not hold a whole one.
+        // An id may be as long as a whole key, so the key has its hash.
         let incarnation = fingerprint_of(&self.target, &[&self.started_ms.unwrap_or_default().to_be_bytes()]);
         format!("{REPORT_KEY_PREFIX}{}/{incarnation}", self.fingerprint)
     }
@@ -256,8 +256,8 @@
         self.trials.retain(|trial| trial.fingerprint != fingerprint);
     }
 
-    /// Records that an entry of a target was read, which the target had written `RENEWAL_MARGIN` after a crash at the
-    /// earliest if the report is that old; drops the reports that this disproves. Returns them.
+    /// Records that a renewed entry of a target was read. Drops the reports on this start of the target that are older than
+    /// `RENEWAL_MARGIN`, since the target lives, and returns them.
     pub fn record_renewal(&mut self, target: &str, started_ms: Option<u64>, now: BootTime) -> Vec<CrashReport> {
         self.take_reports(|known| {
             known.report.target == target
