--- a/src/duties/leader_lease.rs
+++ b/src/duties/leader_lease.rs
@@ -13,7 +13,7 @@
 use crate::prelude::*;
 use crate::row_store::RowVersion;
 
-/// Table of the leader lease and of the notices of weight loads.
+/// Table of the leader lease, of the notices of weight loads and of the reports of crashes.
 pub const DUTY_TABLE: &str = "duties";
 
 /// Key of the row of the leader lease.
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -14,7 +14,8 @@
 use crate::prelude::*;
 use crate::relay::connection_pool::ConnectionPool;
 use crate::relay::reply::ResponseBody;
-use crate::relay::target_relay::{TARGET_HEADER, forward_request};
+use crate::relay::request_forward::forward_request;
+use crate::relay::target_relay::TARGET_HEADER;
 use crate::row_store::store_relay::{SharedStoreRouter, StoreRelay};
 
 /// Time after which a connection of a peer without a call is closed.
--- a/src/fleet/crash_table.rs
+++ b/src/fleet/crash_table.rs
@@ -1,14 +1,16 @@
 //! Decides which requests are held back because targets crash under them, without I/O.
 //!
 //! Each host that loses a connection with an unanswered request reports the request and the target to all hosts. That is no
-//! proof: the link may have been reset, or the target may have crashed for another reason. Two facts tell these apart. A
-//! request that ended unanswered on an open connection, as at its deadline, counts only once its target has ended.
+//! proof: the link may have been reset, or the target may have crashed for another reason. Two facts tell these apart.
 //!
 //! - The entry of the target goes, or shows another start, within a few seconds after a crash. A target that renews its entry
 //!   instead has not crashed, and the report is dropped.
 //! - A request that crashes targets is never answered. One answer at any host clears a request of all reports before it, so
 //!   that a request that callers repeat all the time does not collect the crashes that happen under it by chance.
 //!
+//! A request that ended unanswered on an open connection, as at its deadline, is reported too, and counts only once its target
+//! has ended.
+//!
 //! A request that has [`HOLD_LIMIT`] reports since its last answer is held back at all hosts, also while the reports are
 //! unsettled. After a delay that grows, one host may send it once, as a trial; an answer clears it. Items of batch jobs and
 //! their gradings never crash targets by themselves and are neither reported nor held back.
@@ -23,8 +25,8 @@
 /// Reports since the last answer from which on a request is held back.
 pub const HOLD_LIMIT: usize = 3;
 
-/// Delays of the trials of a request that is held back, each from the last crash or trial; the last one repeats. A sound
-/// request under which three targets crashed by chance waits for the first one only.
+/// Delay of each trial of a request that is held back, from the last report or trial on; further trials have the last delay. The
+/// first one is short for the sake of sound requests.
 pub const TRIAL_DELAYS: [Duration; 4] =
     [Duration::from_secs(1), Duration::from_secs(8), Duration::from_mins(1), Duration::from_mins(10)];
 
@@ -48,6 +50,12 @@
 /// Most reports in the table; beyond that, the oldest is dropped.
 const MAX_REPORTS: usize = 8192;
 
+/// Delay of the trial with this number, counted from 0.
+#[must_use]
+pub fn trial_delay(number: usize) -> Duration {
+    TRIAL_DELAYS[number.min(TRIAL_DELAYS.len() - 1)]
+}
+
 /// Start of the keys of reports.
 pub const REPORT_KEY_PREFIX: &str = "crash/";
 
@@ -157,7 +165,7 @@
     }
 
     /// Whether the report counts against the request.
-    fn counts(&self) -> bool {
+    fn is_evidence(&self) -> bool {
         self.report.is_broken || self.is_settled()
     }
 }
@@ -223,7 +231,7 @@
         }
     }
 
-    /// Applies the removal of a row by its key: a host has seen an answer to the request, or the row was old.
+    /// Applies the removal of the row of a report or a trial: a host has seen an answer to the request, or the row was old.
     pub fn remove_row(&mut self, key: &str) {
         // A report that is not stored yet is not the one that was removed.
         self.reports.retain(|known| !known.is_stored || known.report.row_key() != key);
@@ -303,7 +311,7 @@
     pub fn check(&self, fingerprint: &str, store_ms: u64) -> CrashVerdict {
         let first = self.reports.partition_point(|known| known.report.fingerprint.as_str() < fingerprint);
         let reports = self.reports[first..].iter().take_while(|known| known.report.fingerprint == fingerprint);
-        let reports = reports.filter(|known| known.counts());
+        let reports = reports.filter(|known| known.is_evidence());
         let trials = self.trials.iter().filter(|trial| trial.fingerprint == fingerprint);
         let number = trials.clone().map(|trial| trial.number + 1).max().unwrap_or_default();
         let times = reports.clone().map(|known| known.report.at_ms).chain(trials.map(|trial| trial.at_ms));
@@ -312,7 +320,7 @@
         if reports.count() < HOLD_LIMIT || is_old {
             return CrashVerdict::Free;
         }
-        let due_ms = last_ms + whole_millis(TRIAL_DELAYS[number.min(TRIAL_DELAYS.len() - 1)]);
+        let due_ms = last_ms + whole_millis(trial_delay(number));
         if store_ms >= due_ms {
             CrashVerdict::Trial(number)
         } else {
@@ -331,7 +339,7 @@
     pub fn reports_to_store(&self, own_host: &str, now: BootTime) -> Vec<CrashReport> {
         let is_due = |known: &&KnownReport| {
             let is_overdue = known.ended_at.is_some_and(|at| now.saturating_sub(at) >= OTHER_HOSTS_DELAY);
-            !known.is_stored && known.counts() && (known.report.host == own_host || is_overdue)
+            !known.is_stored && known.is_evidence() && (known.report.host == own_host || is_overdue)
         };
         let due = self.reports.iter().filter(is_due);
         due.map(|known| CrashReport { is_confirmed: known.is_settled(), ..known.report.clone() }).collect()
@@ -356,6 +364,6 @@
     #[must_use]
     pub fn held_requests(&self) -> usize {
         let groups = self.reports.chunk_by(|one, other| one.report.fingerprint == other.report.fingerprint);
-        groups.filter(|group| group.iter().filter(|known| known.counts()).count() >= HOLD_LIMIT).count()
+        groups.filter(|group| group.iter().filter(|known| known.is_evidence()).count() >= HOLD_LIMIT).count()
     }
 }
--- a/src/fleet/fleet_state.rs
+++ b/src/fleet/fleet_state.rs
@@ -56,7 +56,7 @@
 pub struct FleetState {
     view: FleetView,
     missing: Vec<MissingEntry>,
-    /// Targets that leave although their entries may not say so yet.
+    /// Targets that said in a response that they leave, in the order in which they said so.
     leaving: Vec<LeavingTarget>,
     is_target_store_down: bool,
     target_store_back_at: Option<BootTime>,
--- a/src/relay/crash_reports.rs
+++ b/src/relay/crash_reports.rs
@@ -14,8 +14,8 @@
 use crate::duties::leader_lease::DUTY_TABLE;
 use crate::entry::host_context::HostContext;
 use crate::fleet::crash_table::{
-    CrashReport, CrashTable, CrashVerdict, REPORT_KEY_PREFIX, REPORT_RETENTION, RequestTrial, SETTLE_TIMEOUT,
-    TRIAL_DELAYS, TRIAL_KEY_PREFIX,
+    CrashReport, CrashTable, CrashVerdict, REPORT_KEY_PREFIX, REPORT_RETENTION, RequestTrial, TRIAL_KEY_PREFIX,
+    trial_delay,
 };
 use crate::fleet::fleet_state::{FleetChange, RowDecoder};
 use crate::fleet::fleet_view::{TargetEntry, TargetState};
@@ -25,7 +25,6 @@
 use crate::row_store::{
     PartitionTransaction, RowContent, RowName, RowStore, StoreCallError, StoredRow, TransactionResult, VersionCheck,
 };
-use crate::traffic::quarantine::Fingerprint;
 
 /// Number of store partitions that the rows are spread over; a store applies 200 transactions per second per partition.
 const REPORT_PARTITIONS: u64 = 4;
@@ -39,6 +38,9 @@
 /// Shortest time for which a target goes on after it has removed its entry.
 const LEAVING_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which the row of a report that is not confirmed is kept; hosts drop the report within seconds.
+const UNCONFIRMED_RETENTION: Duration = Duration::from_secs(30);
+
 /// Most rows of one transaction, the limit of the stores.
 const MAX_ROWS: usize = 100;
 
@@ -86,7 +88,9 @@
         };
         for row in rows {
             match row.value.as_deref() {
-                None => table.remove_row(&row.key),
+                None if row.key.starts_with(REPORT_KEY_PREFIX) || row.key.starts_with(TRIAL_KEY_PREFIX) => {
+                    table.remove_row(&row.key);
+                }
                 Some(value) if row.key.starts_with(REPORT_KEY_PREFIX) => {
                     if let Some(report) = decode_row(row, value) {
                         table.apply_report(report, store_ms, now);
@@ -97,7 +101,7 @@
                         table.apply_trial(trial);
                     }
                 }
-                Some(_) => {}
+                None | Some(_) => {}
             }
         }
         drop(table);
@@ -151,14 +155,23 @@
     (context.store.store_time)().map_or(0, whole_millis)
 }
 
-/// Reports that a target did not answer a request that was sent to it at `sent_at`: its connection broke, or the caller's
-/// patience ended on an open one. A target that leaves as planned may end its connections.
+/// How a request ended without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnansweredEnd {
+    /// The connection to the target broke.
+    Broken,
+    /// The caller's patience ended, or the target stalled, on an open connection.
+    GivenUp,
+}
+
+/// Reports that a target did not answer a request that was sent to it at `sent_at`, unless the target may be leaving
+/// as planned.
 pub fn report_unanswered(
     context: &HostContext,
     fingerprint: &str,
     target: &TargetEntry,
     sent_at: BootTime,
-    is_broken: bool,
+    end: UnansweredEnd,
 ) {
     let view = context.view();
     let entry = view.target(&target.id).filter(|entry| entry.started_ms == target.started_ms);
@@ -177,34 +190,40 @@
         started_ms: target.started_ms,
         at_ms: store_ms(context),
         host: context.settings.host.clone(),
-        is_broken,
+        is_broken: end == UnansweredEnd::Broken,
         is_confirmed: false,
     };
     let is_added = context.crashes.lock().add_own(report, boot_time());
     let outcome = if is_added { "reported" } else { "too_many" };
     context.metrics.crash_reports.with_label_values(&[outcome]).inc();
-    log::info!(fingerprint = fingerprint, target = target.id, broken = is_broken, outcome = outcome; "target_did_not_answer");
+    log::info!(fingerprint = fingerprint, target = target.id, end:? = end, outcome = outcome; "target_did_not_answer");
     context.crashes.changed.notify_one();
 }
 
-/// Checks that a request may be sent; returns whether it is a trial, which covers one attempt that may run. A trial is taken in
-/// the store, so that one host makes it.
-///
-/// # Errors
-///
-/// The request is held back; holds the time until the next trial is due.
-pub async fn admit_request(context: &HostContext, fingerprint: &str) -> Result<bool, Duration> {
+/// Whether a request may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestAdmission {
+    /// Nothing holds the request back.
+    Free,
+    /// This host makes the next trial: one attempt that may run.
+    Trial,
+    /// The request must not be sent; the next trial is due after this time.
+    Held(Duration),
+}
+
+/// Checks whether a request may be sent. A trial is taken in the store, so that one host makes it.
+pub async fn admit_request(context: &HostContext, fingerprint: &str) -> RequestAdmission {
     let at_ms = store_ms(context);
     let verdict = context.crashes.lock().check(fingerprint, at_ms);
     match verdict {
-        CrashVerdict::Free => Ok(false),
-        CrashVerdict::Held(delay) => Err(delay),
+        CrashVerdict::Free => RequestAdmission::Free,
+        CrashVerdict::Held(delay) => RequestAdmission::Held(delay),
         CrashVerdict::Trial(number) => {
             let trial = RequestTrial { fingerprint: fingerprint.to_owned(), number, at_ms };
             let is_taken = take_trial(context, &trial).await;
             log::info!(fingerprint = fingerprint, trial = number, taken = is_taken; "request_trial");
             context.crashes.lock().apply_trial(trial);
-            if is_taken { Ok(true) } else { Err(TRIAL_DELAYS[(number + 1).min(TRIAL_DELAYS.len() - 1)]) }
+            if is_taken { RequestAdmission::Trial } else { RequestAdmission::Held(trial_delay(number + 1)) }
         }
     }
 }
@@ -302,36 +321,38 @@
 ///
 /// A store call failed; some rows may have been removed.
 pub async fn remove_old_reports(store: &RowStore, store_time: Duration) -> Result<(), StoreCallError> {
-    let is_older = |at_ms: u64, age: Duration| whole_millis(store_time).saturating_sub(at_ms) >= whole_millis(age);
     for part in report_partitions() {
         let (rows, _) = store.read_partition(DUTY_TABLE, &part, None, None).await?;
-        let mut kept: Vec<Fingerprint> = Vec::new();
-        let mut old: Vec<(Fingerprint, String)> = Vec::new();
-        let mut unconfirmed: Vec<String> = Vec::new();
-        for row in &rows {
-            let Some(value) = row.value.as_deref() else { continue };
-            let report: Option<CrashReport> =
-                row.key.starts_with(REPORT_KEY_PREFIX).then(|| decode_row(row, value)).flatten();
-            let trial: Option<RequestTrial> =
-                row.key.starts_with(TRIAL_KEY_PREFIX).then(|| decode_row(row, value)).flatten();
-            match (report, trial) {
-                (Some(report), _) if !report.is_confirmed && is_older(report.at_ms, SETTLE_TIMEOUT * 5) => {
-                    unconfirmed.push(row.key.clone());
-                }
-                (Some(CrashReport { fingerprint, at_ms, .. }), _)
-                | (_, Some(RequestTrial { fingerprint, at_ms, .. })) => {
-                    if is_older(at_ms, REPORT_RETENTION) {
-                        old.push((fingerprint, row.key.clone()));
-                    } else {
-                        kept.push(fingerprint);
-                    }
-                }
-                (None, None) => {}
+        drop_rows(store, &old_row_keys(&rows, whole_millis(store_time))).await?;
+    }
+    Ok(())
+}
+
+/// Keys of the rows to remove among those of a partition, which has all rows of a request.
+fn old_row_keys(rows: &[StoredRow], store_ms: u64) -> Vec<String> {
+    let is_older = |at_ms: u64, age: Duration| store_ms.saturating_sub(at_ms) >= whole_millis(age);
+    let (mut keys, mut old, mut kept) = (Vec::new(), Vec::new(), Vec::new());
+    for row in rows {
+        let Some(value) = row.value.as_deref() else { continue };
+        let (fingerprint, at_ms) = if row.key.starts_with(REPORT_KEY_PREFIX) {
+            let Some(report) = decode_row::<CrashReport>(row, value) else { continue };
+            if !report.is_confirmed && is_older(report.at_ms, UNCONFIRMED_RETENTION) {
+                keys.push(row.key.clone());
+                continue;
             }
+            (report.fingerprint, report.at_ms)
+        } else if row.key.starts_with(TRIAL_KEY_PREFIX) {
+            let Some(trial) = decode_row::<RequestTrial>(row, value) else { continue };
+            (trial.fingerprint, trial.at_ms)
+        } else {
+            continue;
+        };
+        if is_older(at_ms, REPORT_RETENTION) {
+            old.push((fingerprint, row.key.clone()));
+        } else {
+            kept.push(fingerprint);
         }
-        let mut keys = unconfirmed;
-        keys.extend(old.into_iter().filter(|(fingerprint, _)| !kept.contains(fingerprint)).map(|(_, key)| key));
-        drop_rows(store, &keys).await?;
     }
-    Ok(())
+    keys.extend(old.into_iter().filter(|(fingerprint, _)| !kept.contains(fingerprint)).map(|(_, key)| key));
+    keys
 }
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -23,12 +23,13 @@
 use crate::prelude::*;
 use crate::relay::attempt_plan::{ChoiceContext, choose_target, hedge_delay};
 use crate::relay::connection_pool::{Exchange, ExchangeError, PooledConnection};
-use crate::relay::crash_reports::{admit_request, report_unanswered};
+use crate::relay::crash_reports::{RequestAdmission, UnansweredEnd, admit_request, report_unanswered};
 use crate::relay::event_reader::EventReader;
 use crate::relay::reply::{BodyError, ResponseBody, code_reply, whole_body};
 use crate::relay::stream_origins::StreamOrigin;
 use crate::relay::target_codec::{SendOptions, TargetHead, TargetRequest};
 use crate::relay::target_relay::{SendRule, record_unreachable, send_to_target};
+use crate::relay::unanswered_attempt::UnansweredAttempt;
 use crate::traffic::crash_quarantine::fingerprint_of;
 use crate::traffic::quarantine::Fingerprint;
 
@@ -56,9 +57,6 @@
 /// A forwarded response may pause for this many times the objective of its route.
 const STREAM_PAUSE_OBJECTIVES: u32 = 4;
 
-/// Shortest time after which an attempt without an answer is reported; callers leave many requests sooner.
-const MIN_UNANSWERED_TIME: Duration = Duration::from_millis(250);
-
 /// Outcome of one attempt.
 #[derive(Debug)]
 enum AttemptOutcome {
@@ -122,7 +120,8 @@
 
 impl RelayRequest<'_> {
     /// Fingerprint of the request, which is the same each time that its caller sends it.
-    fn fingerprint(&self) -> &Fingerprint {
+    #[must_use]
+    pub fn fingerprint(&self) -> &Fingerprint {
         let request = &self.request;
         let caller = request.organisation.as_deref().unwrap_or_default();
         self.fingerprint.get_or_init(|| {
@@ -183,8 +182,8 @@
     };
     let mut attempted: Vec<TargetId> = Vec::new();
     let is_answered = AtomicBool::new(false);
-    // Targets of all attempts, with the times at which these began.
-    let mut running_targets: Vec<(TargetEntry, BootTime)> = Vec::new();
+    // Target of the last attempt over a link of this host, and when it began.
+    let mut last_direct: Option<(TargetEntry, BootTime)> = None;
     let mut running_attempts = FuturesUnordered::new();
     let mut error_response = None;
     loop {
@@ -196,8 +195,9 @@
             may_start &= running_attempts.is_empty();
         } else if may_start && !context.crashes.is_empty() {
             match admit_request(context, relay.fingerprint()).await {
-                Ok(is_trial) => trace.has_trial = is_trial,
-                Err(delay) => (trace.held_for, may_start) = (Some(delay), false),
+                RequestAdmission::Free => {}
+                RequestAdmission::Trial => trace.has_trial = true,
+                RequestAdmission::Held(delay) => (trace.held_for, may_start) = (Some(delay), false),
             }
         }
         let mut hedge_after = None;
@@ -219,7 +219,9 @@
             let has_silent_attempt = !running_attempts.is_empty();
             let prefers_peers = has_silent_attempt && context.links.is_doubtful();
             let rule = SendRule { is_repeatable, prefers_peers };
-            running_targets.push((target.clone(), boot_time()));
+            if !prefers_peers && !context.links.is_cut() {
+                last_direct = Some((target.clone(), boot_time()));
+            }
             running_attempts.push(run_attempt(context, relay, target, running_request, deadline, rule, &is_answered));
             trace.may_have_run = true;
         }
@@ -236,7 +238,7 @@
         match outcome {
             // The response is overdue; the loop starts another attempt if the route allows one.
             None => {
-                if let Some((target, since)) = running_targets.last() {
+                if let Some((target, since)) = &last_direct {
                     record_unreachable(context, target, *since, "overdue");
                 }
             }
@@ -361,28 +363,6 @@
     Some((target, running_request))
 }
 
-/// Reports an attempt that ends without an answer after [`MIN_UNANSWERED_TIME`], such as at its deadline: a target that loses
-/// power does not break its connections.
-struct UnansweredAttempt<'a> {
-    context: &'a HostContext,
-    relay: &'a RelayRequest<'a>,
-    target: &'a TargetEntry,
-    started_at: BootTime,
-    /// Whether this attempt has ended by itself.
-    has_ended: bool,
-    /// Whether another attempt has answered the request.
-    is_answered: &'a AtomicBool,
-}
-
-impl Drop for UnansweredAttempt<'_> {
-    fn drop(&mut self) {
-        let is_unanswered = !self.has_ended && !self.is_answered.load(Ordering::Acquire);
-        if is_unanswered && boot_time().saturating_sub(self.started_at) >= MIN_UNANSWERED_TIME {
-            report_unanswered(self.context, self.relay.fingerprint(), self.target, self.started_at, false);
-        }
-    }
-}
-
 async fn run_attempt(
     context: &Arc<HostContext>,
     relay: &RelayRequest<'_>,
@@ -396,17 +376,15 @@
     let started = Instant::now();
     let options = SendOptions { target: &target.id, deadline: deadline.saturating_sub(now), resume_after: None };
     let Ok(request) = (context.target_codec.encode)(&relay.request, &options) else { return AttemptOutcome::NotRun };
-    let mut attempt =
-        UnansweredAttempt { context, relay, target: &target, started_at: now, has_ended: false, is_answered };
+    let attempt = UnansweredAttempt::new(context, relay, &target, is_answered);
     let sent = send_to_target(context, &target, request, rule).await;
-    attempt.has_ended = true;
-    drop(attempt);
+    attempt.end();
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(error) => {
             record_target_failure(context, relay, &target, error);
             if error == ExchangeError::Broken {
-                report_unanswered(context, relay.fingerprint(), &target, now, true);
+                report_unanswered(context, relay.fingerprint(), &target, now, UnansweredEnd::Broken);
             }
             return if error == ExchangeError::NotConnected { AttemptOutcome::NotRun } else { AttemptOutcome::Lost };
         }
@@ -479,7 +457,7 @@
             Some(Ok(frame)) => buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
             Some(Err(_)) => {
                 record_target_failure(context, relay, target, ExchangeError::Broken);
-                report_unanswered(context, relay.fingerprint(), target, sent_at, true);
+                report_unanswered(context, relay.fingerprint(), target, sent_at, UnansweredEnd::Broken);
                 return AttemptOutcome::Lost;
             }
         }
@@ -542,11 +520,23 @@
             Some((Ok(frame), streamed))
         }
         Ok(Some(Err(error))) => {
-            report_unanswered(&streamed.context, &streamed.fingerprint, &streamed.target, streamed.sent_at, true);
+            report_unanswered(
+                &streamed.context,
+                &streamed.fingerprint,
+                &streamed.target,
+                streamed.sent_at,
+                UnansweredEnd::Broken,
+            );
             Some((Err(error.into()), streamed))
         }
         Err(_) => {
-            report_unanswered(&streamed.context, &streamed.fingerprint, &streamed.target, streamed.sent_at, false);
+            report_unanswered(
+                &streamed.context,
+                &streamed.fingerprint,
+                &streamed.target,
+                streamed.sent_at,
+                UnansweredEnd::GivenUp,
+            );
             log::info!(request = streamed.request_id, pause_ms = whole_millis(streamed.pause_limit); "response_stalled");
             Some((Err("the target stalled".into()), streamed))
         }
--- a/src/relay/target_relay.rs
+++ b/src/relay/target_relay.rs
@@ -1,32 +1,22 @@
-//! Sends requests to targets, over a link of this host or through another host, and passes requests of other hosts on.
+//! Sends requests to targets, over a link of this host or through another host.
 //!
-//! A peer passes a request on as it is, once and only over its own links, to the target that the request names; it chooses
-//! nothing. The host that sends keeps the attempts, the deadline, the counts and the usage. The outcome is the peer's: a
-//! request that the peer did not send has not run, and one whose answer the peer lost may have. The body of the answer is
-//! passed on as it arrives, and a body that breaks off breaks the connection. A caller that leaves ends the connection to the
-//! peer, and with it the run.
+//! The host that sends chooses the target and keeps the attempts, the deadline, the counts and the usage, whatever the way. The
+//! outcome is the peer's: a request that the peer did not send has not run, and one whose answer the peer lost may have.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
-use std::task::{Context, Poll};
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::Request;
 use hyper::header::HeaderValue;
-use hyper::{Request, Response};
 
 use crate::entry::host_context::HostContext;
 use crate::fleet::fleet_view::{FleetView, TargetEntry, TargetState};
 use crate::fleet::target_load::LoadTable;
 use crate::prelude::*;
-use crate::relay::connection_pool::{ConnectionPool, Exchange, ExchangeError, PooledConnection, SendBody, read_body};
-use crate::relay::plain_relay::strip_connection_headers;
-use crate::relay::reply::{BodyError, ResponseBody};
+use crate::relay::connection_pool::{ConnectionPool, Exchange, ExchangeError, SendBody, read_body};
 use crate::relay::target_links::TargetLinks;
-use crate::row_store::store_relay::{read_relay_error, relay_error};
+use crate::row_store::store_relay::read_relay_error;
 
 /// Header of a request between hosts with the id of the target that it is for.
 pub const TARGET_HEADER: &str = "camphorspring-target";
@@ -47,15 +37,15 @@
 /// Time after which a host whose links are cut leaves the duties of the leader to another one: two probes.
 const HANDOVER_DELAY: Duration = Duration::from_secs(1);
 
-/// Most requests of other hosts that a host has in flight; further ones are refused.
-const MAX_FORWARDED: usize = 256;
+/// Interval at which [`watch_links`] looks whether a probe is due.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Links of this host to targets, shared by its tasks.
 #[derive(Debug, Default)]
 pub struct LinkTable {
     links: Mutex<TargetLinks>,
     /// Requests of other hosts in flight.
-    forwarded: AtomicUsize,
+    pub(super) forwarded: AtomicUsize,
 }
 
 impl LinkTable {
@@ -150,7 +140,8 @@
     send_through_peers(context, target, request).await
 }
 
-async fn send_directly(
+/// Sends a request over a link of this host, and records whether the target is reachable.
+pub(super) async fn send_directly(
     context: &Arc<HostContext>,
     pool: &ConnectionPool,
     target: &TargetEntry,
@@ -274,100 +265,3 @@
         spawn_due_probe(&context);
     }
 }
-
-/// Interval at which [`watch_links`] looks whether a probe is due.
-const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Counts a request of another host as in flight until dropped.
-#[derive(Debug)]
-struct ForwardGuard(Arc<HostContext>);
-
-impl ForwardGuard {
-    /// `None` when too many are in flight.
-    fn new(context: &Arc<HostContext>) -> Option<Self> {
-        let guard = Self(Arc::clone(context));
-        (context.links.forwarded.fetch_add(1, Ordering::AcqRel) < MAX_FORWARDED).then_some(guard)
-    }
-}
-
-impl Drop for ForwardGuard {
-    fn drop(&mut self) {
-        self.0.links.forwarded.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-/// Passes a request of another host on to the target that it names; the caller has found [`TARGET_HEADER`]. `pool` has the
-/// connections of the calling thread.
-pub async fn forward_request(
-    context: &Arc<HostContext>,
-    pool: &Arc<ConnectionPool>,
-    request: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let not_sent = || relay_error(ExchangeError::NotConnected);
-    let Some(guard) = ForwardGuard::new(context).filter(|_| !context.is_stopping()) else { return not_sent() };
-    let (mut head, body) = request.into_parts();
-    let id = head.headers.remove(TARGET_HEADER);
-    let request_id = (context.caller_codec.decode)(&head).request_id;
-    let view = context.view();
-    let target = id.as_ref().and_then(|id| view.target(id.to_str().ok()?));
-    // This host may know that a target is leaving before the sender does.
-    let usable = target.filter(|target| target.state == TargetState::Ready && !view.is_closed(&target.domain));
-    let Some(target) = usable else { return not_sent() };
-    let body_limit = view.services.as_ref().map_or(0, |services| services.limits.body_bytes);
-    let Ok(body) = read_body(body, body_limit).await else { return not_sent() };
-    strip_connection_headers(&mut head.headers);
-    let request = Request::from_parts(head, SendBody::new(body));
-    let exchange = match send_directly(context, pool, target, request, false).await {
-        Ok(exchange) => exchange,
-        Err(error) => return relay_error(error),
-    };
-    context.metrics.forwards.with_label_values(&["passed_on"]).inc();
-    let Exchange { response, connection, is_reused } = exchange;
-    let (mut head, body) = response.into_parts();
-    let target_head = (context.target_codec.decode)(&head);
-    // The sender cannot tell whether the connection to the target was used before.
-    if !target_head.answers(&request_id, is_reused) {
-        return relay_error(ExchangeError::Broken);
-    }
-    context.record_notices(target, &target_head);
-    strip_connection_headers(&mut head.headers);
-    let body = ForwardedBody {
-        body,
-        connection: Some(connection),
-        idle_limit: target_head.idle_limit,
-        pool: Arc::clone(pool),
-        _guard: guard,
-    };
-    Response::from_parts(head, BodyExt::boxed(body))
-}
-
-/// Body of an answer that is passed on as it arrives; gives the connection back at its end.
-struct ForwardedBody {
-    body: Incoming,
-    connection: Option<PooledConnection>,
-    idle_limit: Option<Duration>,
-    pool: Arc<ConnectionPool>,
-    _guard: ForwardGuard,
-}
-
-impl Body for ForwardedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(context));
-        if frame.is_none()
-            && let Some(connection) = self.connection.take()
-        {
-            self.pool.give_back(connection, self.idle_limit);
-        }
-        Poll::Ready(frame.map(|frame| frame.map_err(BodyError::from)))
-    }
-
-    fn size_hint(&self) -> hyper::body::SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/tests/integration/fleet/crashes.rs
+++ b/tests/integration/fleet/crashes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use camphorspring::fleet::crash_table::{
-    CrashReport, CrashTable, CrashVerdict, HOLD_LIMIT, RequestTrial, SETTLE_TIMEOUT, TRIAL_DELAYS,
+    CrashReport, CrashTable, CrashVerdict, HOLD_LIMIT, RequestTrial, SETTLE_TIMEOUT, trial_delay,
 };
 use camphorspring::fleet::fleet_view::{FleetView, TargetState};
 use googletest::prelude::*;
@@ -22,11 +22,6 @@
     }
 }
 
-/// Delay of a trial from the last crash or trial.
-fn trial_delay(number: usize) -> Duration {
-    TRIAL_DELAYS[number.min(TRIAL_DELAYS.len() - 1)]
-}
-
 /// Verdict this many milliseconds after the last crash or trial.
 fn held_until_trial(number: usize, elapsed_ms: u64) -> CrashVerdict {
     CrashVerdict::Held(trial_delay(number).saturating_sub(at(elapsed_ms)))
