--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 for program in target/release/camphorspring target/review/cases; do
     [ -x "$program" ] || { echo "$program is missing: run the build of deploy/system.toml and review/build.sh" >&2; exit 2; }
 done
-exec target/review/cases turns review/3/record.txt
+exec target/review/cases route-removed review/3/record.txt
--- a/review/cases/src/engine.rs
+++ b/review/cases/src/engine.rs
@@ -39,6 +39,8 @@
     pub work: Duration,
     /// End of the id of an item, and which run of it (from 1) answers 500.
     pub failing: Option<(String, usize)>,
+    /// Of how many runs in ten the answer is one interim head after the other, without end.
+    pub endless_in_ten: u64,
 }
 
 #[derive(Debug)]
@@ -238,12 +240,43 @@
         Reply::Full(200, headers, format!("answer to {id}").into_bytes())
     }
 
+    /// Sends bytes that are no answer until the caller closes. All connections together get what the link of a host carries,
+    /// 1,000 Mbit/s.
+    fn send_without_end(&self, id: &str, stream: &mut TcpStream) -> Reply {
+        const BYTES_PER_SECOND: f64 = 125e6;
+        static NEXT: Mutex<Option<Instant>> = Mutex::new(None);
+        self.record.write(&format!("{} sends bytes without end for item {id}", self.options.id));
+        let heads = b"HTTP/1.1 100 \r\n\r\n".repeat(8192);
+        #[allow(clippy::cast_precision_loss)]
+        let time = Duration::from_secs_f64(heads.len() as f64 / BYTES_PER_SECOND);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(30) {
+            let at = {
+                let mut next = NEXT.lock().unwrap();
+                let at = next.unwrap_or_else(Instant::now).max(Instant::now());
+                *next = Some(at + time);
+                at
+            };
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            if stream.write_all(&heads).is_err() {
+                break;
+            }
+        }
+        let elapsed = started.elapsed().as_millis();
+        self.record.write(&format!("{}: the caller closed the connection of item {id} after {elapsed} ms", self.options.id));
+        Reply::Close
+    }
+
     fn stream(&self, request: &Request, id: &str, stream: &mut TcpStream) -> Reply {
         let after: u64 = request.header("last-event-id").parse().unwrap_or_default();
         let fails = self.options.failing.as_ref().is_some_and(|(end, count)| {
             id.ends_with(end.as_str()) && self.all_runs.lock().unwrap().iter().filter(|run| run.id == id).count() + 1 == *count
         });
         let status = if fails { 500 } else { 200 };
+        if self.stamps.load(Ordering::SeqCst) * 7 % 10 < self.options.endless_in_ten {
+            self.stamp();
+            return self.send_without_end(id, stream);
+        }
         self.all_runs.lock().unwrap().push(Run { id: id.to_owned(), status });
         self.record.write(&format!("{} runs item {id} after event {after}: {status}", self.options.id));
         let common = vec![("X-Request-Id".to_owned(), id.to_owned()), ("X-Server-Stamp".to_owned(), self.stamp())];
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -7,6 +7,7 @@
 mod site;
 mod store;
 mod engine;
+mod endless;
 mod steps;
 mod turns;
 mod stops;
@@ -32,6 +33,7 @@
         "stale-owner" => steps::stale_owner,
         "owner-without-configuration" => steps::owner_without_configuration,
         "open-route" => steps::open_route,
+        "bytes-without-end" => endless::bytes_without_end,
         "turns" => turns::turns,
         "rolling-stop" => stops::rolling_stop,
         _ => {
--- a/review/cases/src/steps.rs
+++ b/review/cases/src/steps.rs
@@ -39,6 +39,7 @@
             pause,
             work: Duration::ZERO,
             failing: failing.clone(),
+            endless_in_ten: 0,
         };
         Engine::start(options, store, record, &runs);
     }
--- a/review/cases/src/stops.rs
+++ b/review/cases/src/stops.rs
@@ -68,6 +68,7 @@
             pause: Duration::ZERO,
             work: WORK,
             failing: None,
+            endless_in_ten: 0,
         };
         Engine::start(options, &store, &record, &runs);
     }
--- a/review/cases/src/turns.rs
+++ b/review/cases/src/turns.rs
@@ -52,6 +52,7 @@
         pause: Duration::from_millis(10),
         work: Duration::ZERO,
         failing: None,
+        endless_in_ten: 0,
     };
     let engine = Engine::start(options, &store, &record, &Arc::new(Mutex::default()));
     let route = rollout_route("r-steps", "steps.example", "/steps/", false);
