Answer reads of a batch job whatever has become of its route

Callers saw: 404 at all hosts for a read of a job that was accepted seconds before and whose results had been read, once a configuration had removed the last route of its host name (review/3).

Cause: calls on jobs were refused by the host names of the present configuration, before the job was looked for.

Change: calls on a job look for the job. Other organisations get 404 and unknown keys 401 as before; a caller without a valid key is answered from the cache, so that it causes no store calls.

--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -60,32 +60,21 @@
     let Some(services) = view.services.clone() else {
         return refuse_request(&head, ResultCode::NotReady, Some(NOT_READY_RETRY_DELAY));
     };
-    let admit_access = |job: &str| {
-        let organisation = admit_organisation(&services, false, &head)?;
-        Ok(JobAccess { job: job.to_owned(), organisation })
-    };
-    if head.action != CallerAction::Forward && !services.has_host(&head.host) {
-        return refuse_request(&head, ResultCode::NotFound, None);
+    // An accepted job can be read and ended by those who handed it in, whatever has become of its route.
+    let access =
+        |job: &str| JobAccess { job: job.to_owned(), organisation: admit_organisation(&services, false, &head) };
+    match &head.action {
+        CallerAction::ReadResults { job, after } => {
+            let wait = head.wait.unwrap_or_default().min(READ_WAIT_TIMEOUT);
+            read_job(context, access(job), *after, wait).await
+        }
+        CallerAction::ReadItem { job, item } => read_item(context, access(job), item).await,
+        CallerAction::EndJob { job } => end_job(context, access(job)).await,
+        CallerAction::Forward => {
+            let result = route_request(context, &services, &head, parts, body, arrived_at).await;
+            result.unwrap_or_else(|code| refuse_request(&head, code, None))
+        }
     }
-    let result = match &head.action {
-        CallerAction::ReadResults { job, after } => match admit_access(job) {
-            Ok(access) => {
-                let wait = head.wait.unwrap_or_default().min(READ_WAIT_TIMEOUT);
-                return read_job(context, access, *after, wait).await;
-            }
-            Err(code) => Err(code),
-        },
-        CallerAction::ReadItem { job, item } => match admit_access(job) {
-            Ok(access) => return read_item(context, access, item).await,
-            Err(code) => Err(code),
-        },
-        CallerAction::EndJob { job } => match admit_access(job) {
-            Ok(access) => return end_job(context, access).await,
-            Err(code) => Err(code),
-        },
-        CallerAction::Forward => route_request(context, &services, &head, parts, body, arrived_at).await,
-    };
-    result.unwrap_or_else(|code| refuse_request(&head, code, None))
 }
 
 fn refuse_request(head: &CallerHead, code: ResultCode, retry_after: Option<Duration>) -> Response<ResponseBody> {
--- a/src/fleet/service_map.rs
+++ b/src/fleet/service_map.rs
@@ -157,12 +157,6 @@
         self.routes.iter().find(|route| route.name == name)
     }
 
-    /// Whether some route serves this HTTP host name.
-    #[must_use]
-    pub fn has_host(&self, host: &str) -> bool {
-        self.routes.iter().any(|route| route.host.eq_ignore_ascii_case(host))
-    }
-
     /// Finds a service by name; `None` when this version of the configuration has no such service.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceRule> {
--- a/src/jobs/job_calls.rs
+++ b/src/jobs/job_calls.rs
@@ -36,7 +36,7 @@
     pub route: &'a RouteRule,
     /// HTTP host name of the request.
     pub caller_host: String,
-    /// Organisation that is charged; `None` on routes without keys.
+    /// Organisation that is charged and may read the results; `None` when the caller sent no key.
     pub organisation: Option<OrganisationId>,
     /// Decoded body of the request.
     pub spec: JobSpec,
@@ -127,13 +127,28 @@
     code_reply(ResultCode::StoreUnavailable, Some(STORE_RETRY_AFTER))
 }
 
-/// A job that a caller asks for, and the organisation that must have submitted the job.
+/// A job that a caller asks for, and the caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobAccess {
     /// Id from the path of the request; the job may not exist.
     pub job: JobId,
-    /// Organisation of the caller; `None` on routes without keys.
-    pub organisation: Option<OrganisationId>,
+    /// Organisation of the caller's key, `None` when no keys are in use; the error is why the caller has no valid key.
+    pub organisation: Result<Option<OrganisationId>, ResultCode>,
+}
+
+impl JobAccess {
+    /// Whether the caller may see a job of this organisation.
+    ///
+    /// # Errors
+    ///
+    /// The caller has no valid key, or the job belongs to another organisation and does not exist for the caller.
+    pub fn check(&self, owner: Option<&OrganisationId>) -> Result<(), ResultCode> {
+        match &self.organisation {
+            Ok(organisation) if organisation.as_ref() == owner => Ok(()),
+            Ok(_) => Err(ResultCode::NotFound),
+            Err(code) => Err(*code),
+        }
+    }
 }
 
 /// Header of a job that the caller may see, from the cache if fresh or closed. The error is the response to send.
@@ -145,6 +160,11 @@
     let known = context.board.get(&access.job).filter(|known| is_fresh || known.header.is_closed());
     let found = match known {
         Some(known) => Some((known.header, known.version)),
+        // The store is not asked for callers without a valid key; a fresh cache has the jobs that need none.
+        None if access.organisation.is_err() && is_fresh => None,
+        None if access.organisation.is_err() => {
+            return Err(code_reply(ResultCode::StoreUnavailable, Some(STORE_RETRY_AFTER)));
+        }
         None => match read_header(&context.store, &access.job).await {
             Ok(found) => found,
             Err(error) => {
@@ -153,14 +173,19 @@
             }
         },
     };
-    match found {
-        Some((header, version)) if header.organisation == access.organisation => {
+    let is_found = found.is_some();
+    let admitted = match found {
+        Some((header, version)) => access.check(header.organisation.as_ref()).map(|()| (header, version)),
+        None => Err(access.organisation.as_ref().err().copied().unwrap_or(ResultCode::NotFound)),
+    };
+    match admitted {
+        Ok((header, version)) => {
             context.board.upsert_header(header.clone(), version, boot_time());
             Ok((header, version))
         }
-        _ => {
-            log::info!(job = access.job, found = found.is_some(); "job_not_found");
-            Err(code_reply(ResultCode::NotFound, None))
+        Err(code) => {
+            log::info!(job = access.job, found = is_found, code = code.number(); "job_not_found");
+            Err(code_reply(code, None))
         }
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,6 +11,7 @@
 mod crashing_requests;
 mod fault_plan;
 mod installation;
+mod job_reads;
 mod leaving;
 mod limits;
 mod links;
