Let those who submitted a batch job on an open route read it

Cause: the key was not looked up on an open route, and the job was stored without an organisation; reads compared the organisation of the key with that of the job.

Evidence: soak::job_reads::jobs_on_open_routes_can_be_read_by_their_submitters, with the program before: the results of the job were never read.

Change: a job belongs to the organisation of the key that was sent with it, also where none is needed. One that was submitted without a key belongs to nobody, and all who know its id may read it.

--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -138,6 +138,9 @@
         check_gradings(&spec, services, context.caller_codec.decode_item_body)?;
         let job = head.request_id.clone();
         let caller_host = head.host.clone();
+        // A job belongs to the organisation whose key the caller sent, also where none is needed: reads bring that key.
+        let key_holder = head.key.as_deref().and_then(|key| services.key_holder(key));
+        let organisation = organisation.or_else(|| key_holder.map(|rule| rule.name.clone()));
         return Ok(submit_job(context, Submission { job, route, caller_host, organisation, spec }).await);
     }
     let stream = match find_stream_start(context, route, head).await {
--- a/src/fleet/service_map.rs
+++ b/src/fleet/service_map.rs
@@ -174,8 +174,13 @@
             return Ok(None);
         }
         let key = key.ok_or(AdmissionError::KeyMissing)?;
-        let position = self.keys.binary_search_by(|entry| entry.key.as_str().cmp(key));
-        let position = position.map_err(|_| AdmissionError::KeyUnknown)?;
-        Ok(self.organisations.get(self.keys[position].organisation))
+        self.key_holder(key).map(Some).ok_or(AdmissionError::KeyUnknown)
+    }
+
+    /// Organisation that holds a key; `None` when no organisation does.
+    #[must_use]
+    pub fn key_holder(&self, key: &str) -> Option<&OrganisationRule> {
+        let position = self.keys.binary_search_by(|entry| entry.key.as_str().cmp(key)).ok()?;
+        self.organisations.get(self.keys[position].organisation)
     }
 }
--- a/src/jobs/job_calls.rs
+++ b/src/jobs/job_calls.rs
@@ -137,14 +137,16 @@
 }
 
 impl JobAccess {
-    /// Whether the caller may see a job of this organisation.
+    /// Whether the caller may see a job of this organisation. A job that was submitted without a key belongs to no
+    /// organisation, and all who know its id may see it.
     ///
     /// # Errors
     ///
     /// The caller has no valid key, or the job belongs to another organisation and does not exist for the caller.
     pub fn check(&self, owner: Option<&OrganisationId>) -> Result<(), ResultCode> {
+        let Some(owner) = owner else { return Ok(()) };
         match &self.organisation {
-            Ok(organisation) if organisation.as_ref() == owner => Ok(()),
+            Ok(organisation) if organisation.as_ref() == Some(owner) => Ok(()),
             Ok(_) => Err(ResultCode::NotFound),
             Err(code) => Err(*code),
         }
--- a/src/jobs/job_record.rs
+++ b/src/jobs/job_record.rs
@@ -75,7 +75,8 @@
     pub route: String,
     /// HTTP host name of the submitting request.
     pub caller_host: String,
-    /// Organisation that is charged for the job; `None` on routes without keys.
+    /// Organisation that is charged for the job and may read it; `None` when the job was submitted without a key, so that
+    /// all who know its id may read it.
     pub organisation: Option<OrganisationId>,
     /// Model that runs the items; empty when the job names none.
     pub model: String,
--- a/tests/soak/job_reads.rs
+++ b/tests/soak/job_reads.rs
@@ -83,3 +83,23 @@
     let url = format!("{}{}", installation.caller_url(2), format_job_path("kept"));
     expect_that!(call("DELETE", &url, Some(CALLER_KEY), "end", None).0, eq(200));
 }
+
+/// Guards against a job that nobody can read, since it was accepted on a route that needs no key.
+#[gtest]
+fn jobs_on_open_routes_can_be_read_by_their_submitters() {
+    let installation = SoakInstallation::start(1_802);
+    let mut configuration = build_with_two_organisations(2, CALLER_HOST);
+    for route in configuration["route_list"].as_array_mut().expect("a list of routes") {
+        route["public"] = json!(true);
+    }
+    installation.store.put_configuration(&configuration);
+    std::thread::sleep(CONFIGURATION_TIME);
+    submit(&installation, "keyed", Some(CALLER_KEY));
+    submit(&installation, "open", None);
+    wait_until_listed(&installation, "keyed", Some(CALLER_KEY));
+    wait_until_listed(&installation, "open", None);
+    // The submitter's key belongs to the job that was handed in with it; the other job belongs to nobody.
+    expect_that!(read(&installation, 2, "open", Some(CALLER_KEY)), eq((200, 4)));
+    expect_that!(read(&installation, 2, "keyed", Some(OTHER_KEY)), eq((404, 0)));
+    expect_that!(read(&installation, 2, "keyed", None), eq((401, 0)));
+}
