Refuse late requests that a stopping host cannot finish

Cause: a stopping host took all requests for half of its stop limit, and ended after 85% of it with whatever was running. Nothing compared the time that a request may take with the time that was left.

Change: after the balancer had the time to take the host out, a request is taken only if its time limit ends before the process does; otherwise it is refused at once, as not run. Once the process has decided to end, no request is sent to a target any more.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,5 +9,6 @@
 pub mod host_metrics;
 pub mod host_start;
 pub mod peer_server;
+pub mod planned_stop;
 pub mod request_entry;
 pub mod settings;
--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -1,12 +1,13 @@
 //! State that the tasks of a running host share, and the guard that counts a request as running.
 
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 
 use tokio::sync::watch;
 
 use crate::duties::usage_counter::UsageCounter;
 use crate::entry::host_metrics::HostMetrics;
+use crate::entry::planned_stop::PlannedStop;
 use crate::entry::settings::InstallationSettings;
 use crate::fleet::fleet_state::LeavingTarget;
 use crate::fleet::fleet_view::{FleetView, TargetEntry};
@@ -62,10 +63,8 @@
     pub caller_codec: CallerCodec,
     /// Connections of callers on which a request has arrived.
     pub busy_connections: AtomicUsize,
-    /// Set when a planned stop begins; read by [`Self::is_stopping`].
-    pub stopping: AtomicBool,
-    /// Set when a planned stop hands the batch jobs to other hosts; read by [`Self::must_release_jobs`].
-    pub releasing: AtomicBool,
+    /// Planned stop, begun or not.
+    pub stop: PlannedStop,
 }
 
 impl HostContext {
@@ -78,13 +77,13 @@
     /// Whether a planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.stop.has_begun()
     }
 
     /// Whether the planned stop has reached the point at which batch jobs are handed to other hosts.
     #[must_use]
     pub fn must_release_jobs(&self) -> bool {
-        self.releasing.load(Ordering::Acquire)
+        self.stop.must_release_jobs(boot_time())
     }
 
     /// Runs `work` on the load table under its lock; `work` must not call this function.
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -20,6 +20,7 @@
 use crate::entry::host_context::HostContext;
 use crate::entry::host_metrics::HostMetrics;
 use crate::entry::peer_server::serve_peers;
+use crate::entry::planned_stop::{PlannedStop, StopTimes};
 use crate::entry::request_entry::answer_caller;
 use crate::entry::settings::{InstallationSettings, InstallationSettingsLogLevel};
 use crate::fleet::target_load::LoadTable;
@@ -38,17 +39,6 @@
 use crate::row_store::RowStore;
 use crate::row_store::store_relay::SharedStoreRouter;
 
-/// Delay between the start of a planned stop and the shutdown of open connections. The load balancer checks readiness
-/// once a second, and takes a host out after two failed checks.
-const DRAIN_DELAY: Duration = Duration::from_millis(2500);
-
-/// Fraction of the stop limit after which batch jobs are handed to other hosts. Most jobs, which are steps of trainers,
-/// are complete by then.
-const RELEASE_FRACTION: f64 = 0.5;
-
-/// Fraction of the stop limit after which the process ends, also when requests are still running.
-const EXIT_FRACTION: f64 = 0.85;
-
 /// Delay before the process ends, in which the log thread writes the lines that are still queued.
 const LOG_FLUSH_DELAY: Duration = Duration::from_millis(50);
 
@@ -125,8 +115,7 @@
         target_codec: dependencies.target_codec,
         caller_codec: dependencies.caller_codec,
         busy_connections: AtomicUsize::new(0),
-        stopping: AtomicBool::new(false),
-        releasing: AtomicBool::new(false),
+        stop: PlannedStop::default(),
         settings: dependencies.settings,
     });
     let control_context = Arc::clone(&context);
@@ -226,25 +215,26 @@
         }
     }
     log::info!("stop_requested");
-    let stop_requested_at = boot_time();
-    context.stopping.store(true, Ordering::Release);
-    let stop_limit = Duration::from_secs_f64(context.settings.stop_limit_seconds);
-    tokio::time::sleep(DRAIN_DELAY).await;
+    let requested_at = boot_time();
+    let times = StopTimes::new(requested_at, Duration::from_secs_f64(context.settings.stop_limit_seconds));
+    context.stop.begin(times);
+    tokio::time::sleep(times.close_at.saturating_sub(boot_time())).await;
     // The send fails only without a receiver, and then no connection is open.
     let _ = phase_sender.send(ServerPhase::Closing);
-    tokio::time::sleep(stop_limit.mul_f64(RELEASE_FRACTION).saturating_sub(DRAIN_DELAY)).await;
-    context.releasing.store(true, Ordering::Release);
+    tokio::time::sleep(times.release_at.saturating_sub(boot_time())).await;
     let _ = phase_sender.send(ServerPhase::Refusing);
-    while boot_time().saturating_sub(stop_requested_at) < stop_limit.mul_f64(EXIT_FRACTION) {
+    while boot_time() < times.exit_at {
         let is_idle = context.with_loads(|loads| loads.loads().iter().all(|load| load.running == 0));
         if is_idle && context.busy_connections.load(Ordering::Acquire) == 0 && context.links.forwarded() == 0 {
             break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    // A request that arrives now on an open connection must not be sent to a target any more.
+    context.stop.end();
     caller_server.abort();
     job_task.abort();
-    log::info!(elapsed_ms = whole_millis(boot_time().saturating_sub(stop_requested_at)); "host_stopped");
+    log::info!(elapsed_ms = whole_millis(boot_time().saturating_sub(requested_at)); "host_stopped");
     tokio::time::sleep(LOG_FLUSH_DELAY).await;
     Ok(())
 }
--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -21,8 +21,11 @@
 /// Delay after which callers should retry at a host that knows no configuration yet.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Delay after which callers should try to take up a stream of unknown origin again, at another host.
-const STREAM_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Delay after which callers should try again at another host, which may take the request.
+const OTHER_HOST_RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// Time that a call on a batch job may take at least while this host is stopping; a call that has less is refused.
+const JOB_CALL_TIME: Duration = Duration::from_secs(1);
 
 /// Upper bound of the time that one read of a batch job waits for further results.
 const READ_WAIT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -41,7 +44,20 @@
         CallerAction::ReadItem { .. } => "read_item",
         CallerAction::EndJob { .. } => "end_job",
     };
-    let response = handle_request(&context, head, parts, body, arrived_at).await;
+    let is_forwarded = head.action == CallerAction::Forward;
+    let request_id = head.request_id.clone();
+    let response = tokio::select! {
+        biased;
+        response = handle_request(&context, head, parts, body, arrived_at) => response,
+        () = context.stop.wait_last_answer() => {
+            log::info!(request = request_id, kind = kind; "request_ended_by_stop");
+            if is_forwarded {
+                code_reply(ResultCode::OutcomeUnknown, None)
+            } else {
+                code_reply(ResultCode::NotReady, Some(OTHER_HOST_RETRY_DELAY))
+            }
+        }
+    };
     let metrics = &context.metrics;
     metrics.responses.with_label_values(&[kind, response.status().as_str()]).inc();
     let elapsed = boot_time().saturating_sub(arrived_at);
@@ -60,6 +76,9 @@
     let Some(services) = view.services.clone() else {
         return refuse_request(&head, ResultCode::NotReady, Some(NOT_READY_RETRY_DELAY));
     };
+    if head.action != CallerAction::Forward && !takes_job_call(context) {
+        return refuse_request(&head, ResultCode::NotReady, Some(OTHER_HOST_RETRY_DELAY));
+    }
     // An accepted job can be read and ended by those who handed it in, whatever has become of its route.
     let access =
         |job: &str| JobAccess { job: job.to_owned(), organisation: admit_organisation(&services, false, &head) };
@@ -77,6 +96,12 @@
     }
 }
 
+/// Whether there is time for a call on a batch job before this host ends.
+fn takes_job_call(context: &HostContext) -> bool {
+    let now = boot_time();
+    context.stop.takes_request(now + JOB_CALL_TIME, now)
+}
+
 fn refuse_request(head: &CallerHead, code: ResultCode, retry_after: Option<Duration>) -> Response<ResponseBody> {
     log::info!(
         request = head.request_id, path = head.path, host_name = head.host, code = code.number(),
@@ -134,6 +159,9 @@
         if parts.method != Method::POST {
             return Err(ResultCode::BadMethod);
         }
+        if !takes_job_call(context) {
+            return Ok(refuse_request(head, ResultCode::NotReady, Some(OTHER_HOST_RETRY_DELAY)));
+        }
         let spec = (context.caller_codec.decode_job)(&body).ok_or(ResultCode::BadRequest)?;
         check_gradings(&spec, services, context.caller_codec.decode_item_body)?;
         let job = head.request_id.clone();
@@ -145,7 +173,7 @@
     }
     let stream = match find_stream_start(context, route, head).await {
         Ok(stream) => stream,
-        Err(code) => return Ok(refuse_request(head, code, Some(STREAM_RETRY_DELAY))),
+        Err(code) => return Ok(refuse_request(head, code, Some(OTHER_HOST_RETRY_DELAY))),
     };
     let request = TargetRequest {
         method: parts.method,
@@ -165,6 +193,9 @@
         patience: head.deadline,
         fingerprint: OnceLock::new(),
     };
+    if !context.stop.takes_request(admitted_request.deadline(), boot_time()) {
+        return Ok(refuse_request(head, ResultCode::NotReady, Some(OTHER_HOST_RETRY_DELAY)));
+    }
     Ok(relay_request(context, admitted_request).await)
 }
 
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -119,6 +119,13 @@
 }
 
 impl RelayRequest<'_> {
+    /// When the request must be answered: the end of the shorter one of the times that the caller and the route allow.
+    #[must_use]
+    pub fn deadline(&self) -> BootTime {
+        let timeout = [self.patience, self.route.timeout].into_iter().flatten().min();
+        self.arrived_at + timeout.unwrap_or(DEFAULT_TIMEOUT)
+    }
+
     /// Fingerprint of the request, which is the same each time that its caller sends it.
     #[must_use]
     pub fn fingerprint(&self) -> &Fingerprint {
@@ -133,8 +140,7 @@
 
 /// Forwards a request, with further attempts as the route allows, and returns the response for the caller.
 pub async fn relay_request(context: &Arc<HostContext>, relay: RelayRequest<'_>) -> Response<ResponseBody> {
-    let timeout = [relay.patience, relay.route.timeout].into_iter().flatten().min().unwrap_or(DEFAULT_TIMEOUT);
-    let deadline = relay.arrived_at + timeout;
+    let deadline = relay.deadline();
     let mut trace = RelayTrace::default();
     let time_left = deadline.saturating_sub(boot_time()).saturating_sub(RESPONSE_MARGIN);
     let result = tokio::time::timeout(time_left, run_attempts(context, &relay, deadline, &mut trace)).await;
@@ -155,7 +161,7 @@
         log::info!(
             request = relay.request.request_id, route = relay.route.name, status = status, tries = trace.attempts,
             refusals = trace.refusals, target = trace.last_target, may_have_run = trace.may_have_run,
-            elapsed_ms = elapsed_ms, held_ms:? = trace.held_for.map(whole_millis), patience_ms = whole_millis(timeout),
+            elapsed_ms = elapsed_ms, held_ms:? = trace.held_for.map(whole_millis), patience_ms = whole_millis(deadline.saturating_sub(relay.arrived_at)),
             config_age_ms = whole_millis(now.saturating_sub(relay.view.services_read_at)),
             targets_age_ms = whole_millis(now.saturating_sub(relay.view.targets_read_at));
             "request_ended"
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use camphorspring::entry::fleet_follower::FleetPublisher;
 use camphorspring::entry::host_context::{HostContext, RunningRequest};
 use camphorspring::entry::host_metrics::HostMetrics;
+use camphorspring::entry::planned_stop::PlannedStop;
 use camphorspring::entry::settings::parse_installation_settings;
 use camphorspring::fleet::fleet_view::FleetView;
 use camphorspring::fleet::target_load::LoadTable;
@@ -101,8 +102,7 @@
         target_codec: TARGET_CODEC,
         caller_codec: CALLER_CODEC,
         busy_connections: AtomicUsize::new(0),
-        stopping: AtomicBool::new(false),
-        releasing: AtomicBool::new(false),
+        stop: PlannedStop::default(),
     })
 }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,6 +21,7 @@
 mod operator;
 mod orders;
 mod peer_frames;
+mod planned_stop;
 mod policy;
 mod process_faults;
 mod quarantine;
