End connections that bring bytes without a part of an answer

Cause: one thread serves all callers, and the HTTP library reads and parses for as long as bytes arrive. What comes before the final head, and the digits of a chunk size, were bounded only by timers that the same thread runs.

Evidence: relay::endless::answers_without_end_are_ended on the code before: all 67 MB of the server were read.

Change: connections to targets, the store and peers have a budget of bytes, which each head and each frame that the program takes renews. Once it is used up, reads fail and the connection ends, with a log line. Heads have at most 32 KiB.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -10,6 +10,7 @@
 pub mod crash_reports;
 pub mod event_reader;
 pub mod plain_relay;
+pub mod read_budget;
 pub mod reply;
 pub mod request_forward;
 pub mod stream_origins;
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 
 use crate::prelude::*;
+use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
 
 /// Body of a request that is sent through the pool; complete, so that an unsent request can be sent again.
 pub type SendBody = Full<Bytes>;
@@ -45,6 +46,7 @@
     address: SocketAddr,
     sender: http1::SendRequest<SendBody>,
     driver: JoinHandle<()>,
+    budget: ReadBudget,
 }
 
 impl PooledConnection {
@@ -53,6 +55,12 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Renews the budget for the body of a response whose head has arrived.
+    fn take_head(&self, response: Response<Incoming>) -> Response<BudgetedBody> {
+        self.budget.renew();
+        response.map(|body| BudgetedBody::new(body, self.budget.clone()))
+    }
 }
 
 impl Drop for PooledConnection {
@@ -72,7 +80,7 @@
 #[derive(Debug)]
 pub struct Exchange {
     /// Head, and body still to be read.
-    pub response: Response<Incoming>,
+    pub response: Response<BudgetedBody>,
     /// Connection to return with [`ConnectionPool::give_back`] once the body has been read to its end.
     pub connection: PooledConnection,
     /// Whether the connection was used before, so that a late response to an earlier request may arrive on it.
@@ -149,8 +157,10 @@
             if connection.sender.ready().await.is_err() {
                 continue;
             }
+            connection.budget.renew();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
+                    let response = connection.take_head(response);
                     self.reused.fetch_add(1, Ordering::Relaxed);
                     return Ok(Exchange { response, connection, is_reused: true });
                 }
@@ -162,6 +172,7 @@
         }
         let mut connection = self.connect(address).await?;
         let response = connection.sender.send_request(request).await.map_err(|_| ExchangeError::Broken)?;
+        let response = connection.take_head(response);
         Ok(Exchange { response, connection, is_reused: false })
     }
 
@@ -198,13 +209,15 @@
             log::warn!(address:% = address, error = error.to_string(); "linger_not_set");
         }
         self.opened.fetch_add(1, Ordering::Relaxed);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let budget = ReadBudget::default();
+        let stream = TokioIo::new(BudgetedStream::new(stream, budget.clone()));
+        let handshake = http1::Builder::new().max_buf_size(MAX_PART_BYTES).handshake(stream).await;
         let (sender, driver) = handshake.map_err(|_| ExchangeError::NotConnected)?;
         let driver = tokio::spawn(async move {
             // A broken connection is reported as the error of the exchange that uses the connection.
             let _ = driver.await;
         });
-        Ok(PooledConnection { address, sender, driver })
+        Ok(PooledConnection { address, sender, driver, budget })
     }
 
     /// Keeps a connection for reuse; the last response on the connection must have been read to its end.
@@ -237,7 +250,10 @@
 /// # Errors
 ///
 /// [`ExchangeError::Broken`] if the body was cut off or is larger than `max_bytes`.
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, ExchangeError> {
+pub async fn read_body<B: Body>(body: B, max_bytes: usize) -> Result<Bytes, ExchangeError>
+where
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let collected = Limited::new(body, max_bytes).collect().await;
     collected.map(http_body_util::Collected::to_bytes).map_err(|_| ExchangeError::Broken)
 }
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -11,7 +11,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use hyper::{Response, StatusCode, http};
 
@@ -25,6 +25,7 @@
 use crate::relay::connection_pool::{Exchange, ExchangeError, PooledConnection};
 use crate::relay::crash_reports::{RequestAdmission, UnansweredEnd, admit_request, report_unanswered};
 use crate::relay::event_reader::EventReader;
+use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::{BodyError, ResponseBody, code_reply, whole_body};
 use crate::relay::stream_origins::StreamOrigin;
 use crate::relay::target_codec::{SendOptions, TargetHead, TargetRequest};
@@ -431,7 +432,7 @@
 
 struct TargetResponse {
     head: http::response::Parts,
-    body: Incoming,
+    body: BudgetedBody,
     target_head: TargetHead,
     connection: PooledConnection,
     running_request: RunningRequest,
@@ -500,7 +501,7 @@
     context: Arc<HostContext>,
     connection: Option<PooledConnection>,
     idle_limit: Option<Duration>,
-    body: Incoming,
+    body: BudgetedBody,
     /// Id of the request, for the log.
     request_id: RequestId,
     fingerprint: Fingerprint,
@@ -579,7 +580,7 @@
 /// Reads the rest of a refusal so that the connection can be reused.
 async fn drain_refusal(
     context: &Arc<HostContext>,
-    body: Incoming,
+    body: BudgetedBody,
     connection: PooledConnection,
     target_head: &TargetHead,
 ) {
--- /dev/null
+++ b/src/relay/read_budget.rs
@@ -0,0 +1,148 @@
+//! Bounds the bytes that a connection brings without a part of a message.
+//!
+//! The HTTP library reads and parses for as long as bytes arrive. Interim responses, digits of a chunk size and the like
+//! never reach the program, so that a faulty sender of these would occupy the thread that serves all callers, and timers
+//! would be late. A connection therefore has a budget of bytes. Each part of a message that the program takes, a head or
+//! a frame of a body, renews the budget; once it is used up, reads fail and the connection ends.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::prelude::*;
+
+/// Largest head of a message, and largest part of a body that is read at once, in bytes.
+pub const MAX_PART_BYTES: usize = 32 * 1024;
+
+/// Bytes that may arrive without a part that the program takes: the library reads up to two parts ahead, and a head may
+/// follow some interim ones.
+const BUDGET_BYTES: usize = 4 * MAX_PART_BYTES;
+
+/// Bytes that a connection may still bring until the program takes a part of a message.
+#[derive(Debug, Clone)]
+pub struct ReadBudget(Arc<AtomicUsize>);
+
+impl Default for ReadBudget {
+    fn default() -> Self {
+        Self(Arc::new(AtomicUsize::new(BUDGET_BYTES)))
+    }
+}
+
+impl ReadBudget {
+    /// Restores the whole budget, since the program took a part of a message.
+    pub fn renew(&self) {
+        self.0.store(BUDGET_BYTES, Ordering::Relaxed);
+    }
+
+    /// Takes bytes out of the budget; returns false when it does not have as many.
+    fn spend(&self, bytes: usize) -> bool {
+        let left = self.0.load(Ordering::Relaxed).checked_sub(bytes);
+        self.0.store(left.unwrap_or_default(), Ordering::Relaxed);
+        left.is_some()
+    }
+}
+
+/// Socket whose reads fail once its budget is used up.
+#[derive(Debug)]
+pub struct BudgetedStream {
+    stream: TcpStream,
+    peer: Option<SocketAddr>,
+    budget: ReadBudget,
+}
+
+impl BudgetedStream {
+    /// Wraps a connected socket.
+    #[must_use]
+    pub fn new(stream: TcpStream, budget: ReadBudget) -> Self {
+        let peer = stream.peer_addr().ok();
+        Self { stream, peer, budget }
+    }
+}
+
+impl AsyncRead for BudgetedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let length = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if self.budget.spend(buffer.filled().len() - length) {
+            return Poll::Ready(Ok(()));
+        }
+        log::warn!(peer:? = self.peer, budget = BUDGET_BYTES; "bytes_without_end");
+        Poll::Ready(Err(std::io::Error::new(
+            std::io::ErrorKind::InvalidData,
+            "too many bytes without a part of a message",
+        )))
+    }
+}
+
+impl AsyncWrite for BudgetedStream {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// Body that renews the budget of its connection with each frame.
+#[derive(Debug)]
+pub struct BudgetedBody {
+    body: Incoming,
+    budget: ReadBudget,
+}
+
+impl BudgetedBody {
+    /// Wraps a body that arrives on a connection with this budget.
+    #[must_use]
+    pub fn new(body: Incoming, budget: ReadBudget) -> Self {
+        Self { body, budget }
+    }
+}
+
+impl Body for BudgetedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        self.budget.renew();
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/relay/request_forward.rs
+++ b/src/relay/request_forward.rs
@@ -18,6 +18,7 @@
 use crate::prelude::*;
 use crate::relay::connection_pool::{ConnectionPool, Exchange, ExchangeError, PooledConnection, SendBody, read_body};
 use crate::relay::plain_relay::strip_connection_headers;
+use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::{BodyError, ResponseBody};
 use crate::relay::target_relay::{TARGET_HEADER, send_directly};
 use crate::row_store::store_relay::relay_error;
@@ -90,7 +91,7 @@
 
 /// Body of an answer that is passed on as it arrives; gives the connection back at its end.
 struct ForwardedBody {
-    body: Incoming,
+    body: BudgetedBody,
     connection: Option<PooledConnection>,
     idle_limit: Option<Duration>,
     pool: Arc<ConnectionPool>,
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -153,7 +153,11 @@
 const STREAM_PAUSE: Duration = Duration::from_secs(1);
 
 /// Like [`run_against`], with the engine at `address`.
-fn run_at(address: SocketAddr, known_events: u64, pause_limit: Duration) -> (RunOutcome, usize, Option<u64>, Vec<u64>) {
+pub fn run_at(
+    address: SocketAddr,
+    known_events: u64,
+    pause_limit: Duration,
+) -> (RunOutcome, usize, Option<u64>, Vec<u64>) {
     let mut progress = ItemProgress::default();
     for id in 1..=known_events {
         assert!(progress.append_event(StreamEvent { id: Some(id), data: "x".to_owned(), version: None }, Some(2)));
--- a/tests/integration/relay.rs
+++ b/tests/integration/relay.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempts;
+mod endless;
 mod events;
 mod links;
 mod streams;
--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -47,20 +47,22 @@
     (address, requests)
 }
 
-fn context_with_target(address: SocketAddr) -> Arc<HostContext> {
+/// State of a host that knows one target.
+pub fn context_with_target(address: SocketAddr) -> Arc<HostContext> {
     let mut target = engine("p1", 1);
     target.address = address;
     let (_, view) = watch::channel(Arc::new(view(vec![target], &["h1"], boot_time())));
     context_with_view(view)
 }
 
-fn route(kind: RouteKind) -> RouteRule {
+/// Route to the targets of the tests, with a time-out of 2 s and one attempt.
+pub fn route(kind: RouteKind) -> RouteRule {
     let services = vec![WeightedService { service: "models".to_owned(), weight: 1 }];
     RouteRule { kind, services, attempts: 1, timeout: Some(at(2000)), ..plain_route() }
 }
 
 /// Sends request `r<number>` through the relay; returns the response that the caller gets.
-async fn send(context: &Arc<HostContext>, route: &RouteRule, number: u32) -> Response<ResponseBody> {
+pub async fn send(context: &Arc<HostContext>, route: &RouteRule, number: u32) -> Response<ResponseBody> {
     let request = TargetRequest {
         method: Method::POST,
         path: "/plain/x".to_owned(),
