End answers that go on beyond their time without a pause

Callers would see: a stream, or the item of a job, that never ends while its engine sends comments without a pause, and a large body that goes on beyond the time-out of its route.

Cause: a time-out of a future that is always ready never ends, since the future is asked first; and the rest of a body of more than 256 KiB had no time limit.

Change: readers look at the time before each frame. A body that is no event stream breaks off at the deadline of the request.

--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -123,8 +123,12 @@
     /// When the request must be answered: the end of the shorter one of the times that the caller and the route allow.
     #[must_use]
     pub fn deadline(&self) -> BootTime {
-        let timeout = [self.patience, self.route.timeout].into_iter().flatten().min();
-        self.arrived_at + timeout.unwrap_or(DEFAULT_TIMEOUT)
+        self.arrived_at + self.time_limit().unwrap_or(DEFAULT_TIMEOUT)
+    }
+
+    /// Shorter one of the times that the caller and the route allow; `None` when neither sets one.
+    fn time_limit(&self) -> Option<Duration> {
+        [self.patience, self.route.timeout].into_iter().flatten().min()
     }
 
     /// Fingerprint of the request, which is the same each time that its caller sends it.
@@ -479,6 +483,10 @@
         events: is_stream.then(EventReader::new),
         pause_limit,
         stalls_at: tokio::time::Instant::now() + pause_limit,
+        ends_at: relay
+            .time_limit()
+            .filter(|_| !is_stream)
+            .map(|limit| tokio::time::Instant::now() + (relay.arrived_at + limit).saturating_sub(boot_time())),
         context: Arc::clone(context),
         connection: Some(connection),
         idle_limit,
@@ -513,20 +521,29 @@
     pause_limit: Duration,
     /// When the response breaks off without further progress.
     stalls_at: tokio::time::Instant,
+    /// When a response that is no event stream breaks off, however it goes on; `None` without a time limit.
+    ends_at: Option<tokio::time::Instant>,
     #[expect(dead_code, reason = "counts the request until the stream ends")]
     running_request: RunningRequest,
 }
 
 async fn next_frame(mut streamed: StreamedResponse) -> Option<(Result<Frame<Bytes>, BodyError>, StreamedResponse)> {
     // An error aborts the caller's connection, so that a partial response never looks complete.
-    match tokio::time::timeout_at(streamed.stalls_at, streamed.body.frame()).await {
-        Ok(Some(Ok(frame))) => {
+    let break_off_at = streamed.ends_at.map_or(streamed.stalls_at, |ends_at| ends_at.min(streamed.stalls_at));
+    // A timeout does not end while frames are always ready.
+    let next = if tokio::time::Instant::now() < break_off_at {
+        tokio::time::timeout_at(break_off_at, streamed.body.frame()).await.ok()
+    } else {
+        None
+    };
+    match next {
+        Some(Some(Ok(frame))) => {
             if makes_progress(&frame, streamed.events.as_mut()) {
                 streamed.stalls_at = tokio::time::Instant::now() + streamed.pause_limit;
             }
             Some((Ok(frame), streamed))
         }
-        Ok(Some(Err(error))) => {
+        Some(Some(Err(error))) => {
             report_unanswered(
                 &streamed.context,
                 &streamed.fingerprint,
@@ -536,7 +553,7 @@
             );
             Some((Err(error.into()), streamed))
         }
-        Err(_) => {
+        None => {
             report_unanswered(
                 &streamed.context,
                 &streamed.fingerprint,
@@ -547,7 +564,7 @@
             log::info!(request = streamed.request_id, pause_ms = whole_millis(streamed.pause_limit); "response_stalled");
             Some((Err("the target stalled".into()), streamed))
         }
-        Ok(None) => {
+        Some(None) => {
             if let Some(connection) = streamed.connection.take() {
                 streamed.context.pool.give_back(connection, streamed.idle_limit);
                 streamed.context.crashes.record_answer(&streamed.fingerprint);
--- a/tests/integration/relay/endless.rs
+++ b/tests/integration/relay/endless.rs
@@ -156,3 +156,42 @@
         }
     }
 }
+
+/// Sends a request to a target whose answer does not end, and reads the body; returns whether it ends with an error, and the
+/// number of bytes that the target has sent.
+fn read_without_end(start: &str, repeated: &str) -> (bool, usize) {
+    let (address, sent) = serve_without_end(start, repeated);
+    let context = context_with_target(address);
+    let is_error = run(async {
+        let mut body = send(&context, &route(RouteKind::Repeatable), 1).await.into_body();
+        let read = async {
+            while let Some(frame) = body.frame().await {
+                if frame.is_err() {
+                    return true;
+                }
+                // A caller that reads slowly, so that the target does not reach its last byte.
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            false
+        };
+        tokio::time::timeout(Duration::from_secs(30), read).await
+    });
+    (is_error.unwrap_or_default(), sent.load(Ordering::SeqCst))
+}
+
+/// Guards against a response that is passed on for as long as its target sends, beyond the time that the route allows.
+#[gtest]
+fn body_without_end_ends_with_the_time_of_its_route() {
+    let chunk = format!("400\r\n{}\r\n", "x".repeat(1024));
+    let start = "HTTP/1.1 200 OK\r\nstamp: s\r\ntransfer-encoding: chunked\r\n\r\n";
+    expect_that!(read_without_end(start, &chunk), (eq(true), lt(MAX_SENT_BYTES)));
+}
+
+/// Guards against a stream, or the run of an item, that never ends because its target sends comments without a pause.
+#[gtest]
+fn comments_without_end_are_no_progress() {
+    let start = "HTTP/1.1 200 OK\r\nstamp: s\r\nversion: 2\r\ncontent-type: text/event-stream\r\n\r\n";
+    expect_that!(read_without_end(start, ": wait\n\n"), (eq(true), lt(MAX_SENT_BYTES)));
+    let (address, _) = serve_without_end(start, ": wait\n\n");
+    expect_that!(run_at(address, 0, Duration::from_millis(300)).0, eq(RunOutcome::Stalled));
+}
