Refuse what an old configuration lacks as not confirmed

Change: when the store last confirmed the configuration more than 2 s ago, a route or key that it lacks is refused with 503 (stale_view) instead, with Retry-After; another host may know it. The message of the code says routes as well.

Measured: admission::absence_in_an_old_configuration_is_not_confirmed passes. No process test.

--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -7,6 +7,7 @@
 use hyper::{Method, Request, Response};
 
 use crate::entry::host_context::HostContext;
+use crate::fleet::fleet_view::FleetView;
 use crate::fleet::service_map::{AdmissionError, RouteKind, RouteRule, ServiceMap};
 use crate::jobs::job_calls::{JobAccess, Submission, end_job, read_item, read_job, submit_job};
 use crate::jobs::job_record::JobSpec;
@@ -33,6 +34,10 @@
 /// Upper bound of the time for receiving a request body; a shorter deadline of the caller takes precedence.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Longest time since the store last confirmed the configuration in which a route or key that it lacks counts as absent. While
+/// the store answers, the configuration is confirmed about twice a second.
+const MAX_CONFIGURATION_AGE: Duration = Duration::from_secs(2);
+
 /// Answers one request, and records the response in the metrics.
 pub async fn answer_caller(context: Arc<HostContext>, request: Request<Incoming>) -> Response<ResponseBody> {
     let arrived_at = boot_time();
@@ -80,8 +85,11 @@
         return refuse_request(&head, ResultCode::NotReady, Some(OTHER_HOST_RETRY_DELAY));
     }
     // An accepted job can be read and ended by those who handed it in, whatever has become of its route.
-    let access =
-        |job: &str| JobAccess { job: job.to_owned(), organisation: admit_organisation(&services, false, &head) };
+    let access = |job: &str| {
+        let organisation = admit_organisation(&services, false, &head);
+        let organisation = organisation.map_err(|code| confirmed_code(&view, code, boot_time()));
+        JobAccess { job: job.to_owned(), organisation }
+    };
     match &head.action {
         CallerAction::ReadResults { job, after } => {
             let wait = head.wait.unwrap_or_default().min(READ_WAIT_TIMEOUT);
@@ -91,11 +99,26 @@
         CallerAction::EndJob { job } => end_job(context, access(job)).await,
         CallerAction::Forward => {
             let result = route_request(context, &services, &head, parts, body, arrived_at).await;
-            result.unwrap_or_else(|code| refuse_request(&head, code, None))
+            result.unwrap_or_else(|code| {
+                let confirmed = confirmed_code(&view, code, boot_time());
+                let is_stale = confirmed == ResultCode::StaleView;
+                refuse_request(&head, confirmed, is_stale.then_some(OTHER_HOST_RETRY_DELAY))
+            })
         }
     }
 }
 
+/// Result code of a request that the configuration of this host does not admit: [`ResultCode::StaleView`] instead of a code
+/// that says that a route or key is absent when a newer configuration may have it.
+#[must_use]
+pub fn confirmed_code(view: &FleetView, code: ResultCode, now: BootTime) -> ResultCode {
+    let is_stale = now.saturating_sub(view.services_read_at) > MAX_CONFIGURATION_AGE;
+    match code {
+        ResultCode::NotFound | ResultCode::KeyUnknown if is_stale => ResultCode::StaleView,
+        _ => code,
+    }
+}
+
 /// Whether there is time for a call on a batch job before this host ends.
 fn takes_job_call(context: &HostContext) -> bool {
     let now = boot_time();
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -201,7 +201,7 @@
             Self::KeyMissing => new_entry(1100, "key_missing", 401, 12, NotRun, "the request needs a key"),
             Self::KeyUnknown => new_entry(1101, "key_unknown", 401, 12, NotRun, "the key is not known"),
             Self::KeyWithdrawn => new_entry(1102, "key_withdrawn", 401, 12, NotRun, "the key was withdrawn"),
-            Self::StaleView => new_entry(1103, "stale_view", 503, 13, NotRun, "this host cannot confirm that the key still holds"),
+            Self::StaleView => new_entry(1103, "stale_view", 503, 13, NotRun, "this host cannot confirm which keys and routes are in force"),
             Self::NotReady => new_entry(1104, "not_ready", 503, 13, NotRun, "this host is not ready or is stopping"),
             Self::WrongOrganisation => new_entry(1105, "wrong_organisation", 403, 12, NotRun, "the key's organisation may not do this"),
             Self::QueueFull => new_entry(1201, "queue_full", 429, 14, NotRun, "the queue of the service is full"),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one module for each topic.
 
+mod admission;
 mod bookings;
 mod claims_model;
 mod coalescing;
