Note the end of an expired leader lease as its last call may end

Cause: the end of a holder whose lease expired was noted as the time of the takeover less T and the margin, which is the time of its last renewal. It may act for T / 2 after that, and its calls may take another T / 3. When its successor released the lease, the former holder took it at once.

Change: the end is noted as the takeover less T / 6 and the margin. The row has not changed.

--- a/src/duties/leader_lease.rs
+++ b/src/duties/leader_lease.rs
@@ -6,7 +6,8 @@
 //! within `T / 3`. A successor waits until the row has been unchanged for `T + TAKEOVER_MARGIN` by the successor's
 //! clock, so that its first call follows the last call of the former holder by at least `T / 6 + TAKEOVER_MARGIN`. A
 //! holder that releases the lease lets another host follow at once, and can itself take the lease again only
-//! `T + TAKEOVER_MARGIN` later, so that calls of two holders do not alternate within `T`.
+//! `T + TAKEOVER_MARGIN` later, so that calls of two holders do not alternate within `T`. The same holds for a holder
+//! whose lease expired, from the time at which its last call may have ended.
 
 use serde::{Deserialize, Serialize};
 
@@ -44,7 +45,7 @@
     /// Host as named in [`LeaseRow::holder`].
     pub host: HostId,
     /// Time of the release by the clock of the store, in milliseconds. After a takeover of an expired lease, the time
-    /// of the takeover less `T + TAKEOVER_MARGIN`.
+    /// at which the last call of the holder may have ended: that of the takeover less `T / 6 + TAKEOVER_MARGIN`.
     pub until_ms: u64,
 }
 
@@ -194,7 +195,11 @@
             self.row.former.iter().filter(|former| former.until_ms >= oldest).cloned().collect();
         if !self.row.holder.is_empty() && self.row.holder != self.host {
             former.retain(|known| known.host != self.row.holder);
-            former.push(FormerHolder { host: self.row.holder.clone(), until_ms: oldest });
+            // The row has been unchanged for `T + TAKEOVER_MARGIN`; its holder acted for `T / 2` of that, and its calls ended
+            // within another `T / 3`.
+            let idle_time = self.alternation_time / 6 + TAKEOVER_MARGIN;
+            let until_ms = store_ms.saturating_sub(whole_millis(idle_time));
+            former.push(FormerHolder { host: self.row.holder.clone(), until_ms });
         }
         LeaseRow {
             holder: self.host.clone(),
--- a/tests/integration/duties/lease.rs
+++ b/tests/integration/duties/lease.rs
@@ -145,6 +145,30 @@
     expect_that!(next.0, all!(gt(10_000 + ALTERNATION_MS / 3), lt(10_000 + ALTERNATION_MS + 500)));
 }
 
+/// Guards against a holder whose lease expired in a cut and that follows its successor at once when that one stops, so that
+/// the two act in turns within the alternation time.
+#[gtest]
+fn expired_holder_does_not_follow_its_successor_at_once() {
+    let holder = simulate(&[])[0].1;
+    let cut = (10_000, Fault::Cut { host: holder, millis: 3_600 });
+    let before = simulate(std::slice::from_ref(&cut));
+    let (taken_at, successor, _) =
+        *before.iter().find(|active| active.1 != holder).expect("another host takes the lease over");
+    for delay in (400..2_500).step_by(300) {
+        let stop = (taken_at + delay, Fault::Stop { host: successor });
+        let active_times = simulate(&[cut.clone(), stop]);
+        let last = active_times.iter().rfind(|active| active.1 == holder && active.0 < taken_at);
+        let again = active_times.iter().find(|active| active.1 == holder && active.0 > taken_at);
+        let (Some(last), Some(again)) = (last, again) else { continue };
+        // The last call may take a third of the alternation time.
+        expect_that!(
+            again.0 - last.0,
+            gt(ALTERNATION_MS + ALTERNATION_MS / 3),
+            "stopped {delay} ms after the takeover"
+        );
+    }
+}
+
 /// Guards against leader tasks that wait for the lease to expire after a planned stop of the holder.
 #[gtest]
 fn released_lease_is_taken_at_once() {
