Do not take a job for absent whose header cannot be decoded

Callers would see: 404 for an accepted job at a host of a build that cannot decode the header, as while hosts of two builds run side by side. The reason of absence was lost in an Option.

Change: the read fails as malformed, which callers get as 503; a runner reads the header again later.

Measured: jobs::results::undecodable_header_is_not_absent passes.

--- a/src/jobs/job_store.rs
+++ b/src/jobs/job_store.rs
@@ -117,11 +117,11 @@
     write_header(store, header, version, vec![header_row(header)]).await
 }
 
-/// Reads a header; `None` when the job does not exist or the row cannot be decoded.
+/// Reads a header; `None` when the job does not exist.
 ///
 /// # Errors
 ///
-/// The store call failed.
+/// The store call failed, or the row cannot be decoded.
 pub async fn read_header(store: &RowStore, job: &str) -> Result<Option<(JobHeader, RowVersion)>, StoreCallError> {
     let range = RowRange {
         table: JOB_TABLE.to_owned(),
@@ -130,7 +130,8 @@
         to: Some(format!("{job}\0")),
     };
     let rows = (store.read_range)(range).await?.rows;
-    Ok(find_header(&rows, job))
+    let Some(row) = rows.iter().find(|row| row.key == job) else { return Ok(None) };
+    decode_header(row).map(|header| Some((header, row.version))).ok_or(StoreCallError::Malformed)
 }
 
 /// Reads an accepted job as it was submitted.
--- a/tests/integration/jobs/results.rs
+++ b/tests/integration/jobs/results.rs
@@ -3,12 +3,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use camphorspring::jobs::job_record::{ItemOutcome, ItemResult, ItemSet, ItemSpec, JobHeader, JobSpec};
+use camphorspring::jobs::job_record::{
+    ItemOutcome, ItemResult, ItemSet, ItemSpec, JOB_TABLE, JobHeader, JobSpec, job_partition,
+};
 use camphorspring::jobs::job_store::{
     HeaderWrite, append_results, plan_append, read_header, read_results, read_spec, replace_header, store_job,
 };
 use camphorspring::row_store::{
-    PartitionTransaction, RangeRows, RowRange, RowStore, StoredRow, TableChanges, TransactionResult,
+    PartitionTransaction, RangeRows, RowContent, RowRange, RowStore, StoreCallError, StoredRow, TableChanges,
+    TransactionResult,
 };
 use googletest::prelude::*;
 
@@ -158,6 +161,18 @@
     expect_that!(wait_for(read_header(&store, "k")).expect("the store answers"), none());
 }
 
+/// Guards against a job that does not exist for its caller because this build cannot decode its header.
+#[gtest]
+fn undecodable_header_is_not_absent() {
+    let store = memory_store();
+    let write = RowContent { table: JOB_TABLE, key: "j".to_owned(), value: b"{}".to_vec() };
+    let transaction =
+        PartitionTransaction { part: job_partition("j"), writes: vec![write], ..PartitionTransaction::default() };
+    wait_for((store.transact)(transaction)).expect("the store answers");
+    expect_that!(wait_for(read_header(&store, "j")), err(eq(&StoreCallError::Malformed)));
+    expect_that!(wait_for(read_header(&store, "k")), ok(none()));
+}
+
 /// Guards against results that change their position, and against long results that are read back incomplete.
 #[gtest]
 fn results_keep_position_and_content() {
