--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -30,6 +30,7 @@
 mod report;
 mod samples;
 mod settings;
+mod stored_rows;
 mod support;
 mod traffic_bench;
 mod usage;
--- a/tests/soak/installation.rs
+++ b/tests/soak/installation.rs
@@ -4,7 +4,7 @@
 use std::fs::File;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -41,6 +41,10 @@
 /// Timeout at the start for a host to be ready, or to know all other hosts.
 pub const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Environment variable with the path of an earlier build of the program. If set, the starts of the hosts take turns between that
+/// build and the present one, so that both run side by side, and each takes over what the other one began.
+const EARLIER_PROGRAM_VARIABLE: &str = "SOAK_EARLIER_PROGRAM";
+
 /// Host with its reserved ports; its process may be running or not.
 #[derive(Debug)]
 pub struct SoakHost {
@@ -58,6 +62,8 @@
     #[expect(dead_code, reason = "serves until the installation is dropped")]
     own_store_server: Option<StandinServer>,
     child: Mutex<Option<Child>>,
+    /// Number of starts of the process so far.
+    starts: AtomicUsize,
 }
 
 /// Target with its server and the relay that all hosts reach it through.
@@ -140,6 +146,7 @@
                 target_links: links,
                 own_store_server,
                 child: Mutex::new(None),
+                starts: AtomicUsize::new(0),
             }
         });
         let hosts = hosts.collect();
@@ -208,7 +215,10 @@
         std::fs::write(&file, settings).expect("the settings are written");
         let log = self.directory.path().join(format!("{}.log", soak_host.name));
         let log = File::options().create(true).append(true).open(log).expect("the log opens");
-        let started = Command::new(env!("CARGO_BIN_EXE_camphorspring"))
+        let earlier_program = std::env::var_os(EARLIER_PROGRAM_VARIABLE);
+        let is_earlier = (host + soak_host.starts.fetch_add(1, Ordering::Relaxed)).is_multiple_of(2);
+        let program = earlier_program.filter(|_| is_earlier).unwrap_or(env!("CARGO_BIN_EXE_camphorspring").into());
+        let started = Command::new(program)
             .arg("serve-platform")
             .env("CAMPHORSPRING_NODE_FILE", file)
             .stdin(Stdio::null())
