Bound the bytes without end of callers and peers

Change: connections from callers and peers have the budget of bytes that those to targets have, in parts of the largest head that the configuration allows.

Evidence: relay::endless::requests_without_end_are_ended with the budget switched off: 67 MB of a chunk size were read.

Measured: the tests of relay, jobs and http_bounds pass.

--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use log::LevelFilter;
 use tokio::net::TcpListener;
@@ -32,6 +31,7 @@
 use crate::relay::caller_server::{ServerPhase, serve_callers, serve_status};
 use crate::relay::connection_pool::ConnectionPool;
 use crate::relay::crash_reports::{CrashReports, store_crash_reports};
+use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::ResponseBody;
 use crate::relay::stream_origins::{StreamOrigins, store_origins};
 use crate::relay::target_codec::TargetCodec;
@@ -190,7 +190,7 @@
     }
     let (phase_sender, phase_receiver) = watch::channel(ServerPhase::Serving);
     let handler_context = Arc::clone(&context);
-    let handler = Arc::new(move |request: Request<Incoming>| {
+    let handler = Arc::new(move |request: Request<BudgetedBody>| {
         let context = Arc::clone(&handler_context);
         Box::pin(async move { answer_caller(context, request).await })
             as std::pin::Pin<Box<dyn Future<Output = Response<ResponseBody>> + Send>>
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -13,6 +13,7 @@
 use crate::entry::host_context::HostContext;
 use crate::prelude::*;
 use crate::relay::connection_pool::ConnectionPool;
+use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
 use crate::relay::reply::ResponseBody;
 use crate::relay::request_forward::forward_request;
 use crate::relay::target_relay::TARGET_HEADER;
@@ -34,7 +35,7 @@
 }
 
 impl PeerServer {
-    async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn answer(&self, request: Request<BudgetedBody>) -> Response<ResponseBody> {
         if request.headers().contains_key(TARGET_HEADER) {
             forward_request(&self.context, &self.pool, request).await
         } else {
@@ -64,12 +65,20 @@
         let _ = stream.set_nodelay(true);
         let server = Arc::clone(&server);
         tokio::spawn(async move {
-            let service = service_fn(move |request| {
+            let budget = ReadBudget::default();
+            let stream = BudgetedStream::new(stream, budget.clone());
+            let service = service_fn(move |request: Request<Incoming>| {
                 let server = Arc::clone(&server);
+                budget.renew();
+                let request = request.map(|body| BudgetedBody::new(body, budget.clone()));
                 async move { Ok::<_, Infallible>(server.answer(request).await) }
             });
             let mut builder = http1::Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT).half_close(false);
+            builder
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .half_close(false)
+                .max_buf_size(MAX_PART_BYTES);
             // Peers may close these connections at any time, so errors are ignored.
             let _ = builder.serve_connection(TokioIo::new(stream), service).await;
         });
--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -3,7 +3,6 @@
 use std::sync::OnceLock;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 
 use crate::entry::host_context::HostContext;
@@ -15,6 +14,7 @@
 use crate::relay::caller_codec::{CallerAction, CallerHead};
 use crate::relay::connection_pool::read_body;
 use crate::relay::plain_relay::{RelayRequest, StreamStart, relay_request};
+use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::{ResponseBody, code_reply};
 use crate::relay::stream_origins::find_origin;
 use crate::relay::target_codec::TargetRequest;
@@ -39,7 +39,7 @@
 const MAX_CONFIGURATION_AGE: Duration = Duration::from_secs(2);
 
 /// Answers one request, and records the response in the metrics.
-pub async fn answer_caller(context: Arc<HostContext>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn answer_caller(context: Arc<HostContext>, request: Request<BudgetedBody>) -> Response<ResponseBody> {
     let arrived_at = boot_time();
     let (parts, body) = request.into_parts();
     let head = (context.caller_codec.decode)(&parts);
@@ -74,7 +74,7 @@
     context: &Arc<HostContext>,
     head: CallerHead,
     parts: hyper::http::request::Parts,
-    body: Incoming,
+    body: BudgetedBody,
     arrived_at: BootTime,
 ) -> Response<ResponseBody> {
     let view = context.view();
@@ -169,7 +169,7 @@
     services: &ServiceMap,
     head: &CallerHead,
     parts: hyper::http::request::Parts,
-    body: Incoming,
+    body: BudgetedBody,
     arrived_at: BootTime,
 ) -> Result<Response<ResponseBody>, ResultCode> {
     let route = services.route(&head.host, &head.path).ok_or(ResultCode::NotFound)?;
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -20,6 +20,7 @@
 
 use crate::entry::host_context::HostContext;
 use crate::prelude::*;
+use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
 use crate::relay::reply::{ResponseBody, text_reply};
 
 /// Wait after a failed accept, for example when file descriptors have run out.
@@ -30,7 +31,9 @@
 
 /// Function that handles a caller's request; dropping the returned future cancels the request.
 pub type CallerHandler = Arc<
-    dyn Fn(Request<Incoming>) -> std::pin::Pin<Box<dyn Future<Output = Response<ResponseBody>> + Send>> + Send + Sync,
+    dyn Fn(Request<BudgetedBody>) -> std::pin::Pin<Box<dyn Future<Output = Response<ResponseBody>> + Send>>
+        + Send
+        + Sync,
 >;
 
 /// Phase of a host's life, as far as callers' connections are concerned.
@@ -99,9 +102,13 @@
     let busy = OnceLock::new();
     let limits = context.view().services.as_ref().map(|services| services.limits);
     let idle_time = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time);
+    let max_part_bytes = limits.map_or(MAX_PART_BYTES, |limits| limits.head_bytes.max(MAX_PART_BYTES));
+    let budget = ReadBudget::for_parts(max_part_bytes);
+    let stream = BudgetedStream::new(stream, budget.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         busy.get_or_init(|| BusyConnection::new(&context));
-        let response = handler(request);
+        budget.renew();
+        let response = handler(request.map(|body| BudgetedBody::new(body, budget.clone())));
         let context = Arc::clone(&context);
         async move {
             let mut response = response.await;
@@ -115,6 +122,7 @@
         .timer(TokioTimer::new())
         // The operator configures this timeout; it covers the wait for the next request and the arrival of its head.
         .header_read_timeout(idle_time)
+        .max_buf_size(max_part_bytes)
         .half_close(false)
         .keep_alive(!is_closing)
         .serve_connection(TokioIo::new(stream), service);
--- a/src/relay/read_budget.rs
+++ b/src/relay/read_budget.rs
@@ -20,30 +20,40 @@
 /// Largest head of a message, and largest part of a body that is read at once, in bytes.
 pub const MAX_PART_BYTES: usize = 32 * 1024;
 
-/// Bytes that may arrive without a part that the program takes: the library reads up to two parts ahead, and a head may
-/// follow some interim ones.
-const BUDGET_BYTES: usize = 4 * MAX_PART_BYTES;
+/// Size of a budget in parts: the library reads up to two parts ahead, and a head may follow some interim ones.
+const BUDGET_PARTS: usize = 4;
 
 /// Bytes that a connection may still bring until the program takes a part of a message.
 #[derive(Debug, Clone)]
-pub struct ReadBudget(Arc<AtomicUsize>);
+pub struct ReadBudget {
+    /// Size of the whole budget.
+    bytes: usize,
+    left: Arc<AtomicUsize>,
+}
 
 impl Default for ReadBudget {
     fn default() -> Self {
-        Self(Arc::new(AtomicUsize::new(BUDGET_BYTES)))
+        Self::for_parts(MAX_PART_BYTES)
     }
 }
 
 impl ReadBudget {
+    /// Whole budget of a connection that brings parts of up to this many bytes.
+    #[must_use]
+    pub fn for_parts(part_bytes: usize) -> Self {
+        let bytes = part_bytes.saturating_mul(BUDGET_PARTS);
+        Self { bytes, left: Arc::new(AtomicUsize::new(bytes)) }
+    }
+
     /// Restores the whole budget, since the program took a part of a message.
     pub fn renew(&self) {
-        self.0.store(BUDGET_BYTES, Ordering::Relaxed);
+        self.left.store(self.bytes, Ordering::Relaxed);
     }
 
     /// Takes bytes out of the budget; returns false when it does not have as many.
     fn spend(&self, bytes: usize) -> bool {
-        let left = self.0.load(Ordering::Relaxed).checked_sub(bytes);
-        self.0.store(left.unwrap_or_default(), Ordering::Relaxed);
+        let left = self.left.load(Ordering::Relaxed).checked_sub(bytes);
+        self.left.store(left.unwrap_or_default(), Ordering::Relaxed);
         left.is_some()
     }
 }
@@ -76,7 +86,7 @@
         if self.budget.spend(buffer.filled().len() - length) {
             return Poll::Ready(Ok(()));
         }
-        log::warn!(peer:? = self.peer, budget = BUDGET_BYTES; "bytes_without_end");
+        log::warn!(peer:? = self.peer, budget = self.budget.bytes; "bytes_without_end");
         Poll::Ready(Err(std::io::Error::new(
             std::io::ErrorKind::InvalidData,
             "too many bytes without a part of a message",
--- a/src/relay/request_forward.rs
+++ b/src/relay/request_forward.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame};
 use hyper::{Request, Response};
 
 use crate::entry::host_context::HostContext;
@@ -49,7 +49,7 @@
 pub async fn forward_request(
     context: &Arc<HostContext>,
     pool: &Arc<ConnectionPool>,
-    request: Request<Incoming>,
+    request: Request<BudgetedBody>,
 ) -> Response<ResponseBody> {
     let not_sent = || relay_error(ExchangeError::NotConnected);
     let Some(guard) = ForwardGuard::new(context).filter(|_| !context.is_stopping()) else { return not_sent() };
--- a/src/row_store/store_relay.rs
+++ b/src/row_store/store_relay.rs
@@ -8,11 +8,11 @@
 use std::sync::{Mutex, PoisonError};
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
 use crate::prelude::*;
 use crate::relay::connection_pool::{ConnectionPool, ExchangeError, SendBody, read_body};
+use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::{ResponseBody, whole_body};
 use crate::row_store::StoreCallError;
 use crate::row_store::store_router::{PEERS_PER_CALL, RouteOutcome, StoreRoute, StoreRouter};
@@ -109,7 +109,7 @@
     }
 
     /// Forwards one call; a call that cannot be forwarded gets a response with [`RELAY_ERROR_HEADER`].
-    pub async fn forward(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    pub async fn forward(&self, request: Request<BudgetedBody>) -> Response<ResponseBody> {
         if with_store_router(&self.router, |router| router.has_direct_route_failed()) {
             return relay_error(ExchangeError::NotConnected);
         }
--- a/tests/integration/relay/endless.rs
+++ b/tests/integration/relay/endless.rs
@@ -6,15 +6,19 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use camphorspring::fleet::service_map::RouteKind;
 use camphorspring::jobs::item_scheduler::RunOutcome;
-use camphorspring::relay::connection_pool::{ConnectionPool, ExchangeError, SendBody};
+use camphorspring::relay::caller_server::{ServerPhase, serve_callers};
+use camphorspring::relay::connection_pool::{ConnectionPool, ExchangeError, SendBody, read_body};
+use camphorspring::relay::read_budget::BudgetedBody;
+use camphorspring::relay::reply::{ResponseBody, text_reply};
 use googletest::prelude::*;
 use http_body_util::BodyExt;
-use hyper::Request;
+use hyper::{Request, Response, StatusCode};
 
 use super::answers::{context_with_target, route, send};
-use crate::jobs::item_http::run_at;
+use crate::jobs::item_http::{context, run_at};
 
 /// Largest body that the tests read.
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -80,6 +84,44 @@
     }
 }
 
+/// Guards against a caller that sends bytes without end and occupies the thread of all callers: the connection is closed.
+#[gtest]
+fn requests_without_end_are_ended() {
+    let chunked = "POST / HTTP/1.1\r\nhost: c\r\ntransfer-encoding: chunked\r\n\r\n";
+    let kinds = [
+        ("head", "POST / HTTP/1.1\r\nhost: c\r\nx: ".to_owned(), "y"),
+        ("chunk size", chunked.to_owned(), "0"),
+        ("trailers", format!("{chunked}0\r\n"), "x: y\r\n"),
+    ];
+    for (kind, start, repeated) in kinds {
+        let sent = run(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+            let address = listener.local_addr().expect("the listener is bound");
+            let (_phase, phase) = tokio::sync::watch::channel(ServerPhase::Serving);
+            let handler = Arc::new(|request: Request<BudgetedBody>| {
+                Box::pin(async move {
+                    let is_whole = read_body(request.into_body(), MAX_BODY_BYTES).await.is_ok();
+                    text_reply(StatusCode::OK, Bytes::from(is_whole.to_string()))
+                }) as std::pin::Pin<Box<dyn Future<Output = Response<ResponseBody>> + Send>>
+            });
+            tokio::spawn(serve_callers(context(), listener, handler, phase));
+            let block = repeated.repeat(64 * 1024 / repeated.len());
+            let caller = tokio::task::spawn_blocking(move || {
+                let mut stream = std::net::TcpStream::connect(address).expect("the host accepts");
+                let mut is_open = stream.write_all(start.as_bytes()).is_ok();
+                let mut sent = 0;
+                while is_open && sent < MAX_SENT_BYTES {
+                    is_open = stream.write_all(block.as_bytes()).is_ok();
+                    sent += block.len();
+                }
+                sent
+            });
+            caller.await.expect("the caller ends")
+        });
+        expect_that!(sent, lt(MAX_TAKEN_BYTES), "{kind}");
+    }
+}
+
 /// Starts a server that sends the first bytes of an answer and closes the connection in order, one byte more each time;
 /// returns its address.
 fn serve_cut(answer: &str) -> SocketAddr {
