Look at the time after a frame without progress, not before each frame

A host that wakes from a freeze finds the time of its streams passed and their frames waiting. The check before each frame would have ended all runs and streams at that moment, although their targets had gone on.

Change: the frame that is there is taken first, as before; a stream ends only if that frame makes no progress, or the request is past its deadline.

--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -240,20 +240,14 @@
         let mut stalls_at = tokio::time::Instant::now() + self.pause_limit;
         let mut last_event_at = boot_time();
         loop {
-            // A timeout does not end while frames are always ready.
-            let next = if tokio::time::Instant::now() < stalls_at {
-                tokio::time::timeout_at(stalls_at, body.frame()).await.ok()
-            } else {
-                None
-            };
-            let frame = match next {
-                Some(Some(Ok(frame))) => frame,
-                Some(None) if reader.is_at_boundary() => break,
-                Some(Some(Err(_)) | None) => {
+            let frame = match tokio::time::timeout_at(stalls_at, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) if reader.is_at_boundary() => break,
+                Ok(Some(Err(_)) | None) => {
                     self.record_lost_link(is_direct, last_event_at, "broken");
                     return (RunOutcome::Broken, event_count);
                 }
-                None => {
+                Err(_) => {
                     self.record_lost_link(is_direct, last_event_at, "silent");
                     return (RunOutcome::Stalled, event_count);
                 }
@@ -268,6 +262,10 @@
                 if is_direct {
                     self.context.links.record_answer();
                 }
+            } else if tokio::time::Instant::now() >= stalls_at {
+                // The timeout above never ends while frames are always ready.
+                self.record_lost_link(is_direct, last_event_at, "silent");
+                return (RunOutcome::Stalled, event_count);
             }
             for event in new_events {
                 output_bytes += event.data.len();
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -527,44 +527,38 @@
     running_request: RunningRequest,
 }
 
+impl StreamedResponse {
+    /// When the response breaks off unless it makes progress until then, and has not ended by its time limit.
+    fn break_off_at(&self) -> tokio::time::Instant {
+        self.ends_at.map_or(self.stalls_at, |ends_at| ends_at.min(self.stalls_at))
+    }
+
+    /// Records that the target did not complete the response.
+    fn report_unanswered(&self, end: UnansweredEnd) {
+        report_unanswered(&self.context, &self.fingerprint, &self.target, self.sent_at, end);
+    }
+}
+
 async fn next_frame(mut streamed: StreamedResponse) -> Option<(Result<Frame<Bytes>, BodyError>, StreamedResponse)> {
     // An error aborts the caller's connection, so that a partial response never looks complete.
-    let break_off_at = streamed.ends_at.map_or(streamed.stalls_at, |ends_at| ends_at.min(streamed.stalls_at));
-    // A timeout does not end while frames are always ready.
-    let next = if tokio::time::Instant::now() < break_off_at {
-        tokio::time::timeout_at(break_off_at, streamed.body.frame()).await.ok()
-    } else {
-        None
-    };
+    let next = tokio::time::timeout_at(streamed.break_off_at(), streamed.body.frame()).await;
     match next {
-        Some(Some(Ok(frame))) => {
+        Ok(Some(Ok(frame))) => {
             if makes_progress(&frame, streamed.events.as_mut()) {
                 streamed.stalls_at = tokio::time::Instant::now() + streamed.pause_limit;
             }
+            // The timeout above never ends while frames are always ready.
+            if tokio::time::Instant::now() >= streamed.break_off_at() {
+                return Some(break_off(streamed));
+            }
             Some((Ok(frame), streamed))
         }
-        Some(Some(Err(error))) => {
-            report_unanswered(
-                &streamed.context,
-                &streamed.fingerprint,
-                &streamed.target,
-                streamed.sent_at,
-                UnansweredEnd::Broken,
-            );
+        Ok(Some(Err(error))) => {
+            streamed.report_unanswered(UnansweredEnd::Broken);
             Some((Err(error.into()), streamed))
         }
-        None => {
-            report_unanswered(
-                &streamed.context,
-                &streamed.fingerprint,
-                &streamed.target,
-                streamed.sent_at,
-                UnansweredEnd::GivenUp,
-            );
-            log::info!(request = streamed.request_id, pause_ms = whole_millis(streamed.pause_limit); "response_stalled");
-            Some((Err("the target stalled".into()), streamed))
-        }
-        Some(None) => {
+        Err(_) => Some(break_off(streamed)),
+        Ok(None) => {
             if let Some(connection) = streamed.connection.take() {
                 streamed.context.pool.give_back(connection, streamed.idle_limit);
                 streamed.context.crashes.record_answer(&streamed.fingerprint);
@@ -574,6 +568,13 @@
     }
 }
 
+/// Ends a response whose target has stalled, or goes on beyond the time limit of the request.
+fn break_off(streamed: StreamedResponse) -> (Result<Frame<Bytes>, BodyError>, StreamedResponse) {
+    streamed.report_unanswered(UnansweredEnd::GivenUp);
+    log::info!(request = streamed.request_id, pause_ms = whole_millis(streamed.pause_limit); "response_stalled");
+    (Err("the target stalled".into()), streamed)
+}
+
 /// Whether a frame has data and, in an event stream, completes an event: a stalled target may still send comments.
 fn makes_progress(frame: &Frame<Bytes>, events: Option<&mut EventReader>) -> bool {
     let Some(data) = frame.data_ref() else { return false };
