--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -57,6 +57,7 @@
         () = context.stop.wait_last_answer() => {
             log::info!(request = request_id, kind = kind; "request_ended_by_stop");
             if is_forwarded {
+                // A submission is among these: its job may be stored.
                 code_reply(ResultCode::OutcomeUnknown, None)
             } else {
                 code_reply(ResultCode::NotReady, Some(OTHER_HOST_RETRY_DELAY))
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -99,7 +99,7 @@
     context: Arc<HostContext>,
     header: Arc<JobHeader>,
     header_version: RowVersion,
-    /// Version of the header when the runner started.
+    /// Version of the header when the runner started, which the configuration must have reached to tell of the route.
     first_version: RowVersion,
     spec: Arc<JobSpec>,
     scheduler: ItemScheduler,
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -166,7 +166,8 @@
         log::info!(
             request = relay.request.request_id, route = relay.route.name, status = status, tries = trace.attempts,
             refusals = trace.refusals, target = trace.last_target, may_have_run = trace.may_have_run,
-            elapsed_ms = elapsed_ms, held_ms:? = trace.held_for.map(whole_millis), patience_ms = whole_millis(deadline.saturating_sub(relay.arrived_at)),
+            elapsed_ms = elapsed_ms, held_ms:? = trace.held_for.map(whole_millis),
+            patience_ms = whole_millis(deadline.saturating_sub(relay.arrived_at)),
             config_age_ms = whole_millis(now.saturating_sub(relay.view.services_read_at)),
             targets_age_ms = whole_millis(now.saturating_sub(relay.view.targets_read_at));
             "request_ended"
@@ -528,7 +529,7 @@
 }
 
 impl StreamedResponse {
-    /// When the response breaks off unless it makes progress until then, and has not ended by its time limit.
+    /// When the response breaks off: at its time limit, or earlier if it makes no further progress.
     fn break_off_at(&self) -> tokio::time::Instant {
         self.ends_at.map_or(self.stalls_at, |ends_at| ends_at.min(self.stalls_at))
     }
--- a/tests/integration/relay/endless.rs
+++ b/tests/integration/relay/endless.rs
@@ -1,4 +1,4 @@
-//! Answers without end, and answers that end at each of their bytes.
+//! Answers and requests without end, and answers that are cut at each of their bytes.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
