--- /dev/null
+++ b/review/cases-2/src/engine.rs
@@ -0,0 +1,236 @@
+//! Stand-in of an engine: runs requests for tokens as event streams, and plain requests, with slots and a queue.
+
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
+use std::time::{Duration, Instant};
+
+use crate::http::{Message, Server, respond};
+use crate::json::{Json, object};
+use crate::record::Record;
+use crate::store::Store;
+
+/// Header of a request with the number of events of its output; the client sets it, and the system passes it on.
+pub const EVENTS: &str = "X-Case-Events";
+
+/// Header of a request with the milliseconds that an event takes.
+pub const EVENT_MS: &str = "X-Case-Event-Ms";
+
+/// Interval in which an engine renews its entry (`heartbeat_ms`).
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+/// Requests that wait beside those that run.
+const QUEUE: usize = 36;
+
+pub struct Engine {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub slots: usize,
+    /// Models with their versions; none for a plain service.
+    pub models: Vec<String>,
+    pub record: Arc<Record>,
+    /// Version of the software, and count of the starts.
+    software: Mutex<(String, u64)>,
+    running: Mutex<usize>,
+    freed: Condvar,
+    server: OnceLock<Server>,
+    store: Arc<Store>,
+}
+
+impl Engine {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        slots: usize,
+        models: &[&str],
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+    ) -> Arc<Engine> {
+        let engine = Arc::new(Engine {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            slots,
+            models: models.iter().map(|model| (*model).to_owned()).collect(),
+            record: Arc::clone(record),
+            software: Mutex::new(("v1".to_owned(), 1)),
+            running: Mutex::new(0),
+            freed: Condvar::new(),
+            server: OnceLock::new(),
+            store: Arc::clone(store),
+        });
+        let answering = Arc::clone(&engine);
+        let _ = engine.server.set(Server::start(Arc::new(move |request, stream| answering.answer(request, stream))));
+        engine.renew_entry(1);
+        engine
+    }
+
+    /// Renews the entry while the start with this number lasts.
+    fn renew_entry(self: &Arc<Self>, start: u64) {
+        let engine = Arc::clone(self);
+        engine.store.put("servers", &engine.id, Some(&engine.entry(1)));
+        std::thread::spawn(move || {
+            for seq in 2.. {
+                std::thread::sleep(HEARTBEAT);
+                if engine.start_number() != start {
+                    return;
+                }
+                engine.store.put("servers", &engine.id, Some(&engine.entry(seq)));
+            }
+        });
+    }
+
+    fn start_number(&self) -> u64 {
+        self.software.lock().unwrap().1
+    }
+
+    /// Ends the engine: its connections are closed, and it sends nothing.
+    pub fn end(&self) {
+        self.record.line(&format!("engine {} ends", self.id));
+        self.software.lock().unwrap().1 += 1;
+        self.server.get().expect("started").stop();
+    }
+
+    /// Starts the engine again under its id, with this version of its software; it registers itself at once.
+    pub fn start_again(self: &Arc<Self>, software: &str) {
+        self.software.lock().unwrap().0 = software.to_owned();
+        self.server.get().expect("started").start_again();
+        self.renew_entry(self.start_number());
+        self.record.line(&format!("engine {} has started again, software {software}", self.id));
+    }
+
+    /// Unix millisecond of the present start, a new one with each.
+    fn born(&self) -> f64 {
+        1_700_000_000_000.0 + self.start_number() as f64 * 1000.0
+    }
+
+    fn loaded_models(&self) -> Json {
+        let models = self.models.iter().map(|model| {
+            object([("name", model.as_str().into()), ("version", 1.0.into()), ("adapters", Json::List(Vec::new()))])
+        });
+        models.collect::<Vec<Json>>().into()
+    }
+
+    fn report(&self) -> Json {
+        object([
+            ("stage", "both".into()),
+            ("models", self.loaded_models()),
+            ("busy", false.into()),
+            ("seq", 0.0.into()),
+            ("running", (*self.running.lock().unwrap() as f64).into()),
+            ("born", self.born().into()),
+        ])
+    }
+
+    fn entry(&self, seq: u64) -> Json {
+        let software = self.software.lock().unwrap().0.clone();
+        let address = self.server.get().expect("started").address;
+        object([
+            ("service", self.service.as_str().into()),
+            ("address", address.to_string().into()),
+            ("zone", self.zone.as_str().into()),
+            ("version", software.into()),
+            ("slots", (self.slots as f64).into()),
+            ("state", "ready".into()),
+            ("cold_left_ms", 0.0.into()),
+            ("seq", (seq as f64).into()),
+            ("born", self.born().into()),
+            ("stage", "both".into()),
+            ("models", self.loaded_models()),
+        ])
+    }
+
+    fn answer(&self, request: &Message, stream: &mut TcpStream) -> io::Result<()> {
+        let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        let common = [("X-Request-Id", id.as_str()), ("Keep-Alive", "timeout=5")];
+        let with = |more: &[(&'static str, &'static str)]| -> Vec<(&str, &str)> {
+            common.iter().copied().chain(more.iter().copied()).collect()
+        };
+        if request.header("x-expect-instance").is_some_and(|expected| expected != self.id) {
+            return respond(stream, 421, &with(&[("X-Not-Executed", "1")]), b"");
+        }
+        if request.path() == "/report" {
+            let body = self.report().to_string();
+            return respond(stream, 200, &with(&[("Content-Type", "application/json")]), body.as_bytes());
+        }
+        if id.is_empty() {
+            return respond(stream, 400, &with(&[("X-Not-Executed", "1")]), b"");
+        }
+        let (software, start) = self.software.lock().unwrap().clone();
+        let arrived = Instant::now();
+        let deadline_ms = request.header("x-deadline-ms").and_then(|value| value.parse().ok()).unwrap_or(60_000);
+        let deadline = arrived + Duration::from_millis(deadline_ms);
+        let Some(_slot) = self.take_slot(deadline) else {
+            return respond(stream, 503, &with(&[("X-Not-Executed", "1")]), b"");
+        };
+        let after: u64 = request.header("last-event-id").and_then(|value| value.parse().ok()).unwrap_or_default();
+        let tenant = request.header("x-tenant").unwrap_or_default();
+        self.record.line(&format!(
+            "engine {} (software {software}) runs {id} after event {after}, X-Deadline-Ms {deadline_ms}, X-Tenant {tenant:?}",
+            self.id
+        ));
+        let Some(events) = request.header(EVENTS).and_then(|value| value.parse::<u64>().ok()) else {
+            std::thread::sleep(Duration::from_millis(25));
+            let body = format!("ran {id}");
+            return respond(stream, 200, &with(&[("X-Server-Stamp", "stamp")]), body.as_bytes());
+        };
+        let pause = request.header(EVENT_MS).and_then(|value| value.parse().ok()).unwrap_or(10);
+        let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+        for (name, value) in with(&[("X-Server-Stamp", "stamp"), ("X-Weight-Versions", "1")]) {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        stream.write_all(head.as_bytes())?;
+        for event in after + 1..=events {
+            std::thread::sleep(Duration::from_millis(pause));
+            if self.start_number() != start {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            if Instant::now() > deadline {
+                self.record.line(&format!("engine {} stops work on {id} at its deadline, before event {event}", self.id));
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            let text = format!("id: {event}\ndata: {}\n\n", event_data(&id, event, &software));
+            if let Err(error) = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()) {
+                self.record.line(&format!("engine {} drops {id} at event {event}, its connection is closed", self.id));
+                return Err(error);
+            }
+        }
+        stream.write_all(b"0\r\n\r\n")?;
+        self.record.line(&format!("engine {} has finished {id} with event {events}", self.id));
+        Ok(())
+    }
+
+    /// Waits for a slot; `None` when the queue is full or the deadline passes first.
+    fn take_slot(&self, deadline: Instant) -> Option<Slot<'_>> {
+        let mut running = self.running.lock().unwrap();
+        if *running >= self.slots + QUEUE {
+            return None;
+        }
+        while *running >= self.slots {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            running = self.freed.wait_timeout(running, left).unwrap().0;
+        }
+        *running += 1;
+        Some(Slot(self))
+    }
+}
+
+struct Slot<'a>(&'a Engine);
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        *self.0.running.lock().unwrap() -= 1;
+        self.0.freed.notify_one();
+    }
+}
+
+/// Data of an event of the output of a request, with the software that made it.
+fn event_data(id: &str, event: u64, software: &str) -> String {
+    format!("{id}:{event}@{software}")
+}
