--- a/review/cases-2/src/big_bodies.rs
+++ b/review/cases-2/src/big_bodies.rs
@@ -23,11 +23,15 @@
 /// Bytes of the body of an item: 28 MB for a step of 64 items.
 const LARGE_ITEM_BYTES: usize = 330_000;
 
+/// Events of an item, and the time that each takes.
+const EVENTS: u64 = 28;
+const EVENT_MS: u64 = 700;
+
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> bool {
     let mut site = Site::start(record, 3, &["tt-south-a", "tt-south-a", "tt-south-b", "tt-south-c"]);
     let item_bytes = if has_trouble { LARGE_ITEM_BYTES } else { USUAL_ITEM_BYTES };
     let hosts: Vec<(String, SocketAddr)> = site.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect();
-    let body = job_body(&step_items("e5b2907c0000", item_bytes));
+    let body = job_body(&step_items("e5b2907c0000", item_bytes, EVENTS, EVENT_MS));
     assert!(body.len() < MAX_BODY_BYTES);
     let answer = submit(hosts[0].1, JOB, &body, Duration::from_secs(12)).map(|answer| answer.status());
     record.line(&format!("the step ({} bytes) at host {}: {answer:?}", body.len(), hosts[0].0));
--- a/review/cases-2/src/big_steps.rs
+++ b/review/cases-2/src/big_steps.rs
@@ -24,6 +24,10 @@
 /// Bytes of the body of an item: 20 MB for a step of 64 items.
 const LARGE_ITEM_BYTES: usize = 240_000;
 
+/// Events of an item, and the time that each takes.
+const EVENTS: u64 = 28;
+const EVENT_MS: u64 = 20;
+
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> bool {
     let mut site = Site::start(record, 3, &["tt-south-a", "tt-south-a", "tt-south-b", "tt-south-c"]);
     let item_bytes = if has_trouble { LARGE_ITEM_BYTES } else { USUAL_ITEM_BYTES };
@@ -45,7 +49,7 @@
 
 /// Hands a step in; after no answer or a refusal again, at another node.
 fn hand_in(record: &Record, hosts: &[(String, SocketAddr)], trainer: usize, step: usize, item_bytes: usize) {
-    let body = job_body(&step_items(&format!("e5b2907c{trainer}{step:03}"), item_bytes));
+    let body = job_body(&step_items(&format!("e5b2907c{trainer}{step:03}"), item_bytes, EVENTS, EVENT_MS));
     assert!(body.len() < MAX_BODY_BYTES);
     let job = format!("7c41e09b52d6{trainer}{step:03}");
     let started = Instant::now();
--- a/review/cases-2/src/site.rs
+++ b/review/cases-2/src/site.rs
@@ -133,12 +133,12 @@
     ])
 }
 
-/// Items of a step: 8 groups of 8, with 28 events each, as in the site file. `prefix` begins their ids.
-pub fn step_items(prefix: &str, item_bytes: usize) -> Vec<Item> {
+/// Items of a step: 8 groups of 8, as in the site file. `prefix` begins their ids.
+pub fn step_items(prefix: &str, item_bytes: usize, events: u64, event_ms: u64) -> Vec<Item> {
     let item = |number| Item {
         id: format!("{prefix}{number:04}"),
-        events: 28,
-        event_ms: 20,
+        events,
+        event_ms,
         body: vec![b'x'; item_bytes],
         group: format!("g100{}a", number / 8),
     };
@@ -193,6 +193,18 @@
     call(host, "POST", "/pufi791/7c41e0", &headers, Some(body), timeout)
 }
 
+/// Results of a job from a position on: the id, state and text of each; `None` without an answer.
+pub fn read_results(host: SocketAddr, job: &str, after: usize) -> Option<Vec<(String, String, String)>> {
+    let bearer = bearer();
+    let headers = [("Host", CALLER_HOST), ("Authorization", bearer.as_str()), ("X-Wait-Ms", "500")];
+    let path = format!("/lots/{job}?after={after}");
+    let answer = call(host, "GET", &path, &headers, None, Duration::from_secs(3)).filter(|answer| answer.status() == 200)?;
+    let page = Json::parse(&answer.body)?;
+    let text = |result: &Json, name: &str| result.get(name).text().to_owned();
+    let results = page.get("results").list().iter();
+    Some(results.map(|result| (text(result, "id"), text(result, "state"), text(result, "text"))).collect())
+}
+
 /// Requests the body of an item; `None` when no answer comes in time.
 pub fn item_body(host: SocketAddr, job: &str, item: &str) -> Option<Message> {
     let bearer = bearer();
