--- a/review/cases-2/src/big_bodies.rs
+++ b/review/cases-2/src/big_bodies.rs
@@ -27,8 +27,8 @@
 const EVENTS: u64 = 28;
 const EVENT_MS: u64 = 700;
 
-pub fn play(record: &Arc<Record>, has_trouble: bool) -> bool {
-    let mut site = Site::start(record, 3, &["tt-south-a", "tt-south-a", "tt-south-b", "tt-south-c"]);
+pub fn play(record: &Arc<Record>, has_trouble: bool) -> Option<bool> {
+    let mut site = Site::start(record, 3, &["tt-south-a", "tt-south-a", "tt-south-b", "tt-south-c"])?;
     let item_bytes = if has_trouble { LARGE_ITEM_BYTES } else { USUAL_ITEM_BYTES };
     let hosts: Vec<(String, SocketAddr)> = site.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect();
     let body = job_body(&step_items("e5b2907c0000", item_bytes, EVENTS, EVENT_MS));
@@ -37,7 +37,7 @@
     record.line(&format!("the step ({} bytes) at host {}: {answer:?}", body.len(), hosts[0].0));
     if answer != Some(202) {
         record.line("the step was not accepted, so the case cannot run");
-        std::process::exit(2);
+        return None;
     }
     let waiting = Arc::new(AtomicUsize::new(CLIENTS));
     let started = Instant::now();
@@ -52,7 +52,7 @@
             waiting.fetch_sub(1, Ordering::SeqCst);
         });
     }
-    watch(record, &mut site.hosts, || waiting.load(Ordering::SeqCst) > 0)
+    Some(watch(record, &mut site.hosts, || waiting.load(Ordering::SeqCst) > 0))
 }
 
 /// Requests the body of an item; after no answer or a refusal again, at another node.
--- a/review/cases-2/src/big_steps.rs
+++ b/review/cases-2/src/big_steps.rs
@@ -28,8 +28,8 @@
 const EVENTS: u64 = 28;
 const EVENT_MS: u64 = 20;
 
-pub fn play(record: &Arc<Record>, has_trouble: bool) -> bool {
-    let mut site = Site::start(record, 3, &["tt-south-a", "tt-south-a", "tt-south-b", "tt-south-c"]);
+pub fn play(record: &Arc<Record>, has_trouble: bool) -> Option<bool> {
+    let mut site = Site::start(record, 3, &["tt-south-a", "tt-south-a", "tt-south-b", "tt-south-c"])?;
     let item_bytes = if has_trouble { LARGE_ITEM_BYTES } else { USUAL_ITEM_BYTES };
     let hosts: Vec<(String, SocketAddr)> = site.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect();
     let waiting = Arc::new(AtomicUsize::new(TRAINERS));
@@ -44,7 +44,7 @@
             waiting.fetch_sub(1, Ordering::SeqCst);
         });
     }
-    watch(record, &mut site.hosts, || waiting.load(Ordering::SeqCst) > 0)
+    Some(watch(record, &mut site.hosts, || waiting.load(Ordering::SeqCst) > 0))
 }
 
 /// Hands a step in; after no answer or a refusal again, at another node.
--- a/review/cases-2/src/engine.rs
+++ b/review/cases-2/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -32,6 +33,7 @@
     pub record: Arc<Record>,
     /// Version of the software, and count of the starts.
     software: Mutex<(String, u64)>,
+    serving: AtomicBool,
     running: Mutex<usize>,
     freed: Condvar,
     server: OnceLock<Server>,
@@ -56,6 +58,7 @@
             models: models.iter().map(|model| (*model).to_owned()).collect(),
             record: Arc::clone(record),
             software: Mutex::new(("v1".to_owned(), 1)),
+            serving: AtomicBool::new(true),
             running: Mutex::new(0),
             freed: Condvar::new(),
             server: OnceLock::new(),
@@ -86,17 +89,34 @@
         self.software.lock().unwrap().1
     }
 
-    /// Ends the engine: its connections are closed, and it sends nothing.
-    pub fn end(&self) {
+    /// Ends the engine: its connections are closed, and it sends nothing. Its entry is removed after three heartbeats of silence.
+    pub fn end(self: &Arc<Self>) {
         self.record.line(&format!("engine {} ends", self.id));
-        self.software.lock().unwrap().1 += 1;
+        let next_start = {
+            let mut software = self.software.lock().unwrap();
+            software.1 += 1;
+            software.1
+        };
+        self.serving.store(false, Ordering::SeqCst);
         self.server.get().expect("started").stop();
+        let engine = Arc::clone(self);
+        std::thread::spawn(move || {
+            std::thread::sleep(HEARTBEAT * 3);
+            if engine.start_number() == next_start && !engine.is_serving() {
+                engine.store.put("servers", &engine.id, None);
+            }
+        });
+    }
+
+    fn is_serving(&self) -> bool {
+        self.serving.load(Ordering::SeqCst)
     }
 
     /// Starts the engine again under its id, with this version of its software; it registers itself at once.
     pub fn start_again(self: &Arc<Self>, software: &str) {
         self.software.lock().unwrap().0 = software.to_owned();
         self.server.get().expect("started").start_again();
+        self.serving.store(true, Ordering::SeqCst);
         self.renew_entry(self.start_number());
         self.record.line(&format!("engine {} has started again, software {software}", self.id));
     }
--- a/review/cases-2/src/host.rs
+++ b/review/cases-2/src/host.rs
@@ -67,8 +67,8 @@
         Host { name: name.to_owned(), callers, readiness, settings, log, child: None, record: Arc::clone(record), starts: 0 }
     }
 
-    /// Starts the process with the command of the deploy file.
-    pub fn start(&mut self) {
+    /// Starts the process with the command of the deploy file; returns whether that was possible.
+    pub fn start(&mut self) -> bool {
         let log = File::options().create(true).append(true).open(&self.log).expect("the log opens");
         let child = Command::new(root().join("target/release/camphorspring"))
             .arg("serve-platform")
@@ -80,13 +80,11 @@
             .stdout(log.try_clone().expect("the log opens twice"))
             .stderr(log)
             .spawn();
-        let Ok(child) = child else {
-            eprintln!("the product's program is missing");
-            std::process::exit(2);
-        };
+        let Ok(child) = child else { return false };
         self.starts += 1;
         self.record.line(&format!("host {} starts (process {})", self.name, child.id()));
         self.child = Some(child);
+        true
     }
 
     /// Whether the process runs; the end of one is recorded once.
@@ -129,14 +127,14 @@
     }
 }
 
-/// Waits until all hosts are ready; exits with 2 when one is not in time.
-pub fn wait_ready(hosts: &[Host]) {
+/// Waits until all hosts are ready; returns whether they are in time.
+pub fn wait_ready(hosts: &[Host]) -> bool {
     let deadline = Instant::now() + Duration::from_secs(15);
     while !hosts.iter().all(Host::is_ready) {
         if Instant::now() > deadline {
-            eprintln!("the hosts did not become ready");
-            std::process::exit(2);
+            return false;
         }
         std::thread::sleep(Duration::from_millis(50));
     }
+    true
 }
--- a/review/cases-2/src/http.rs
+++ b/review/cases-2/src/http.rs
@@ -25,10 +25,6 @@
         self.start.split(' ').nth(position).unwrap_or_default()
     }
 
-    pub fn method(&self) -> &str {
-        self.word(0)
-    }
-
     /// Path without the query.
     pub fn path(&self) -> &str {
         self.word(1).split('?').next().unwrap_or_default()
--- a/review/cases-2/src/in_place.rs
+++ b/review/cases-2/src/in_place.rs
@@ -7,10 +7,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::engine::{EVENT_MS, EVENTS};
-use crate::http::stream;
+use crate::client_stream::ClientStream;
 use crate::record::Record;
-use crate::site::{CALLER_HOST, Site, USUAL_ITEM_BYTES, bearer, job_body, read_results, step_items, submit};
+use crate::site::{Site, USUAL_ITEM_BYTES, job_body, read_results, step_items, submit};
 
 const ENGINES: usize = 12;
 
@@ -43,8 +42,8 @@
     data: Vec<String>,
 }
 
-pub fn play(record: &Arc<Record>, has_trouble: bool) -> bool {
-    let site = Site::start(record, ENGINES, &["tt-south-a", "tt-south-a", "tt-south-b", "tt-south-c"]);
+pub fn play(record: &Arc<Record>, has_trouble: bool) -> Option<bool> {
+    let site = Site::start(record, ENGINES, &["tt-south-a", "tt-south-a", "tt-south-b", "tt-south-c"])?;
     let hosts: Vec<SocketAddr> = site.hosts.iter().map(|host| host.callers).collect();
     let running = Arc::new(AtomicUsize::new(CLIENTS + JOBS));
     let outputs = Arc::new(Mutex::new(Vec::new()));
@@ -55,7 +54,7 @@
             std::thread::sleep(Duration::from_millis(20 * number as u64));
             for stream in 0..STREAMS_PER_CLIENT {
                 let name = format!("stream {number}-{stream}");
-                let data = follow_stream(&record, &hosts, number, stream);
+                let data = follow(&record, &hosts, number, stream);
                 outputs.lock().unwrap().push(Output { name, data });
             }
             running.fetch_sub(1, Ordering::SeqCst);
@@ -96,7 +95,7 @@
         "{joined} of {} streams and texts hold events of two software versions; the rule allows {ALLOWED}",
         outputs.len()
     ));
-    joined > ALLOWED
+    Some(joined > ALLOWED)
 }
 
 /// Hands a batch job in and reads its results; returns the texts.
@@ -119,39 +118,19 @@
     texts
 }
 
-/// Reads a stream to its end, and takes it up at another host whenever it breaks; returns the data of its events.
-fn follow_stream(record: &Record, hosts: &[SocketAddr], number: usize, stream_number: usize) -> Vec<String> {
-    let (bearer, events, event_ms) = (bearer(), STREAM_EVENTS.to_string(), STREAM_EVENT_MS.to_string());
-    let first = format!("9c41d07b{number:04}{stream_number:02}00");
-    let mut output: Vec<String> = Vec::new();
+/// Reads a stream to its end, and takes it up at another host whenever it breaks off; returns the data of its events.
+fn follow(record: &Record, hosts: &[SocketAddr], number: usize, stream_number: usize) -> Vec<String> {
+    let mut stream = ClientStream::new(&format!("{number:04}{stream_number:02}"), STREAM_EVENTS, STREAM_EVENT_MS);
+    let prompt = format!("prompt {number} {stream_number}");
     for attempt in 0..=TAKE_UPS {
-        let id = format!("9c41d07b{number:04}{stream_number:02}{attempt:02}");
-        let last = output.len().to_string();
-        let mut headers = vec![
-            ("Host", CALLER_HOST),
-            ("Authorization", bearer.as_str()),
-            ("X-Request-Id", id.as_str()),
-            ("X-Deadline-Ms", "30000"),
-            ("X-Model", "daka510000"),
-            (EVENTS, events.as_str()),
-            (EVENT_MS, event_ms.as_str()),
-        ];
-        if !output.is_empty() {
-            headers.extend([("Last-Event-Id", last.as_str()), ("Resumes", first.as_str())]);
+        let end = stream.read(hosts[(number + attempt) % hosts.len()], &prompt);
+        if end.whole {
+            break;
         }
-        let host = hosts[(number + attempt) % hosts.len()];
-        let (status, whole) = stream(host, "/tesi402/8b", &headers, format!("prompt {number} {stream_number}").as_bytes(), |line| {
-            if let Some(data) = line.strip_prefix("data: ") {
-                output.push(data.to_owned());
-            }
-        });
-        if whole {
-            return output;
-        }
-        record.line(&format!("stream {number}-{stream_number}: attempt {id} ends with status {status} after event {}", output.len()));
-        if status != 200 {
+        record.line(&format!("stream {number}-{stream_number}: {end}"));
+        if end.status != 200 {
             std::thread::sleep(Duration::from_millis(400));
         }
     }
-    output
+    stream.data
 }
--- a/review/cases-2/src/json.rs
+++ b/review/cases-2/src/json.rs
@@ -267,18 +267,3 @@
     }
     text
 }
-
-pub fn from_base64(text: &str) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(text.len() / 4 * 3);
-    let (mut value, mut bits) = (0_u32, 0);
-    for byte in text.bytes() {
-        let Some(digit) = DIGITS.iter().position(|known| *known == byte) else { break };
-        value = value << 6 | digit as u32;
-        bits += 6;
-        if bits >= 8 {
-            bits -= 8;
-            bytes.push((value >> bits) as u8);
-        }
-    }
-    bytes
-}
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod big_bodies;
 mod big_steps;
+mod client_stream;
 mod engine;
 mod host;
 mod http;
@@ -10,6 +11,7 @@
 mod json;
 mod memory;
 mod record;
+mod same_question;
 mod site;
 mod store;
 
@@ -25,6 +27,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let is_broken = match case.as_str() {
         "in-place" => in_place::play(&record, has_trouble),
+        "same-question" => same_question::play(&record, has_trouble),
         "big-steps" => big_steps::play(&record, has_trouble),
         "big-bodies" => big_bodies::play(&record, has_trouble),
         _ => {
@@ -32,6 +35,10 @@
             std::process::exit(2);
         }
     };
+    let Some(is_broken) = is_broken else {
+        record.line("RESULT: the case cannot run");
+        std::process::exit(2);
+    };
     record.line(if is_broken { "RESULT: the rule is broken" } else { "RESULT: the rule holds" });
     std::process::exit(i32::from(is_broken));
 }
--- a/review/cases-2/src/site.rs
+++ b/review/cases-2/src/site.rs
@@ -26,8 +26,6 @@
 pub const MAX_QUEUE_S: f64 = 40.0;
 
 pub struct Site {
-    pub record: Arc<Record>,
-    pub store: Arc<Store>,
     pub hosts: Vec<Host>,
     pub engines: Vec<Arc<Engine>>,
     folder: PathBuf,
@@ -43,8 +41,9 @@
 }
 
 impl Site {
-    /// Starts a store, `engines` model engines of 12 slots, one plain engine of 6, and one host in each of `zones`.
-    pub fn start(record: &Arc<Record>, engines: usize, zones: &[&str]) -> Site {
+    /// Starts a store, `engines` model engines of 12 slots, one plain engine of 6, and one host in each of `zones`; `None` when the hosts
+    /// do not start.
+    pub fn start(record: &Arc<Record>, engines: usize, zones: &[&str]) -> Option<Site> {
         let folder = std::env::temp_dir().join(format!("camphorspring-case-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let store = Store::new();
@@ -60,13 +59,15 @@
         let hosts = zones.iter().enumerate().map(|(number, zone)| {
             Host::new(&format!("edge-{zone}-{}", number + 1), zone, store_address, None, &folder, record)
         });
-        let mut site = Site { record: Arc::clone(record), hosts: hosts.collect(), engines, store, folder };
-        site.hosts.iter_mut().for_each(Host::start);
-        wait_ready(&site.hosts);
+        let mut site = Site { hosts: hosts.collect(), engines, folder };
+        if !site.hosts.iter_mut().all(Host::start) || !wait_ready(&site.hosts) {
+            record.line("the hosts do not start");
+            return None;
+        }
         // The hosts learn of each other with their next renewals.
         std::thread::sleep(Duration::from_millis(2500));
         record.line("all hosts are ready");
-        site
+        Some(site)
     }
 }
 
--- a/review/cases-2/src/store.rs
+++ b/review/cases-2/src/store.rs
@@ -85,14 +85,7 @@
         self.changed.notify_all();
     }
 
-    /// Values of the rows of a table, decoded as JSON.
-    pub fn values(&self, table: &str) -> Vec<Json> {
-        let state = self.state.lock().unwrap();
-        let rows = state.rows.iter().filter(|(name, _)| name.0 == table).filter_map(|(_, row)| row.0.clone());
-        rows.filter_map(|value| Json::parse(&crate::json::from_base64(&value))).collect()
-    }
-
-    pub fn now_ms(&self) -> f64 {
+    fn now_ms(&self) -> f64 {
         self.started.elapsed().as_secs_f64() * 1000.0 + 1.0
     }
 
