--- a/review/cases-2/src/engine.rs
+++ b/review/cases-2/src/engine.rs
@@ -17,6 +17,11 @@
 /// Header of a request with the milliseconds that an event takes.
 pub const EVENT_MS: &str = "X-Case-Event-Ms";
 
+/// Header of a plain request with the bytes of its answer, and one with the milliseconds for which the engine is silent after three
+/// quarters of them.
+pub const BYTES: &str = "X-Case-Bytes";
+pub const SILENT_MS: &str = "X-Case-Silent-Ms";
+
 /// Interval in which an engine renews its entry (`heartbeat_ms`).
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
@@ -191,6 +196,22 @@
             "engine {} (software {software}) runs {id} after event {after}, X-Deadline-Ms {deadline_ms}, X-Tenant {tenant:?}",
             self.id
         ));
+        if let Some(bytes) = request.header(BYTES).and_then(|value| value.parse::<usize>().ok()) {
+            let silent_ms = request.header(SILENT_MS).and_then(|value| value.parse().ok()).unwrap_or(0);
+            let mut head = format!("HTTP/1.1 200 OK\r\nContent-Type: text/csv\r\nContent-Length: {bytes}\r\n");
+            for (name, value) in with(&[("X-Server-Stamp", "stamp")]) {
+                head.push_str(&format!("{name}: {value}\r\n"));
+            }
+            head.push_str("\r\n");
+            let (first, rest) = (bytes / 4 * 3, bytes - bytes / 4 * 3);
+            stream.write_all(head.as_bytes())?;
+            stream.write_all(&vec![b'x'; first])?;
+            std::thread::sleep(Duration::from_millis(silent_ms));
+            let written = stream.write_all(&vec![b'x'; rest]);
+            let end = if written.is_ok() { "has written the whole answer" } else { "finds its connection closed" };
+            self.record.line(&format!("engine {} {end} to {id}", self.id));
+            return written;
+        }
         let Some(events) = request.header(EVENTS).and_then(|value| value.parse::<u64>().ok()) else {
             std::thread::sleep(Duration::from_millis(25));
             let body = format!("ran {id}");
--- a/review/cases-2/src/host.rs
+++ b/review/cases-2/src/host.rs
@@ -11,6 +11,12 @@
 use crate::http::call;
 use crate::record::Record;
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+pub const SIGTERM: i32 = 15;
+
 pub struct Host {
     pub name: String,
     pub callers: SocketAddr,
@@ -87,6 +93,16 @@
         true
     }
 
+    pub fn signal(&mut self, signal: i32) {
+        if let Some(child) = &mut self.child
+            && matches!(child.try_wait(), Ok(None))
+        {
+            self.record.line(&format!("signal {signal} to host {}", self.name));
+            // SAFETY: the process is a child of this one and has not been waited for, so that the id is its own.
+            unsafe { kill(child.id() as i32, signal) };
+        }
+    }
+
     /// Whether the process runs; the end of one is recorded once.
     pub fn is_running(&mut self) -> bool {
         let Some(child) = &mut self.child else { return false };
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -12,6 +12,7 @@
 mod memory;
 mod record;
 mod same_question;
+mod silent_answer;
 mod site;
 mod store;
 
@@ -28,6 +29,7 @@
     let is_broken = match case.as_str() {
         "in-place" => in_place::play(&record, has_trouble),
         "same-question" => same_question::play(&record, has_trouble),
+        "silent-answer" => silent_answer::play(&record, has_trouble),
         "big-steps" => big_steps::play(&record, has_trouble),
         "big-bodies" => big_bodies::play(&record, has_trouble),
         _ => {
