--- a/review/cases-2/src/engine.rs
+++ b/review/cases-2/src/engine.rs
@@ -237,7 +237,8 @@
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         let pause = request.header(EVENT_MS).and_then(|value| value.parse().ok()).unwrap_or(10);
-        let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+        let mut head =
+            String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
         for (name, value) in with(&[("X-Server-Stamp", "stamp"), ("X-Weight-Versions", "1")]) {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -249,7 +250,8 @@
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             if Instant::now() > deadline {
-                self.record.line(&format!("engine {} stops work on {id} at its deadline, before event {event}", self.id));
+                self.record
+                    .line(&format!("engine {} stops work on {id} at its deadline, before event {event}", self.id));
                 return Err(io::ErrorKind::TimedOut.into());
             }
             let text = format!("id: {event}\ndata: {}\n\n", event_data(&id, event, &software));
--- a/review/cases-2/src/host.rs
+++ b/review/cases-2/src/host.rs
@@ -70,7 +70,16 @@
         );
         std::fs::write(&settings, text).expect("the settings are written");
         let log = folder.join(format!("{name}.log"));
-        Host { name: name.to_owned(), callers, readiness, settings, log, child: None, record: Arc::clone(record), starts: 0 }
+        Host {
+            name: name.to_owned(),
+            callers,
+            readiness,
+            settings,
+            log,
+            child: None,
+            record: Arc::clone(record),
+            starts: 0,
+        }
     }
 
     /// Starts the process with the command of the deploy file; returns whether that was possible.
--- a/review/cases-2/src/http.rs
+++ b/review/cases-2/src/http.rs
@@ -237,7 +237,9 @@
     if let Some(body) = body {
         stream.write_all(body).ok()?;
     }
-    stream.set_read_timeout(Some(deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(1)))).ok()?;
+    stream
+        .set_read_timeout(Some(deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(1))))
+        .ok()?;
     let message = read_message(&mut BufReader::new(stream.try_clone().ok()?), true).ok()?;
     // A response with a length is whole; the connection is not needed any more.
     let _ = stream.shutdown(std::net::Shutdown::Both);
--- a/review/cases-2/src/memory.rs
+++ b/review/cases-2/src/memory.rs
@@ -42,7 +42,10 @@
             let memory = host.memory_mb();
             peaks[position] = peaks[position].max(memory);
             if memory > MEMORY_MB {
-                record.line(&format!("host {} uses {memory:.0} MB, over its {MEMORY_MB} MB: the platform kills it", host.name));
+                record.line(&format!(
+                    "host {} uses {memory:.0} MB, over its {MEMORY_MB} MB: the platform kills it",
+                    host.name
+                ));
                 host.kill();
                 kills[position] += 1;
                 restarts[position] = Some(Instant::now() + RESTART_DELAY);
@@ -51,7 +54,8 @@
         std::thread::sleep(LOOK_PAUSE);
     }
     for (position, host) in hosts.iter().enumerate() {
-        record.line(&format!("host {}: {:.0} MB at most, killed {} times", host.name, peaks[position], kills[position]));
+        record
+            .line(&format!("host {}: {:.0} MB at most, killed {} times", host.name, peaks[position], kills[position]));
     }
     let often = kills.iter().filter(|kills| **kills >= ENDS).count();
     record.line(&format!("{often} hosts of {} were killed {ENDS} times or more", hosts.len()));
--- a/review/cases-2/src/same_question.rs
+++ b/review/cases-2/src/same_question.rs
@@ -82,7 +82,9 @@
     let taken_up = devices.iter().filter(|device| device.0).count();
     let went_on = devices.iter().filter(|device| device.1).count();
     let begun = *begun.lock().unwrap();
-    record.line(&format!("{went_on} of {taken_up} streams that were taken up went on; {begun} of {OTHERS} new streams began"));
+    record.line(&format!(
+        "{went_on} of {taken_up} streams that were taken up went on; {begun} of {OTHERS} new streams began"
+    ));
     let share = |part: usize, whole: usize| part as f64 / whole.max(1) as f64;
     Some(taken_up >= MIN_TAKEN_UP && share(went_on, taken_up) < share(begun, OTHERS) / 2.0)
 }
--- a/review/cases-2/src/silent_answer.rs
+++ b/review/cases-2/src/silent_answer.rs
@@ -58,7 +58,8 @@
         .collect();
     let lost = threads.into_iter().filter_map(|thread| thread.join().ok()).filter(|is_whole| !is_whole).count();
     // Beside planned work the rule counts such answers on kept connections only, and more than three of them.
-    let is_counted = if has_trouble { "around planned work" } else { "without planned work, which the rule does not count" };
+    let is_counted =
+        if has_trouble { "around planned work" } else { "without planned work, which the rule does not count" };
     record.line(&format!("{lost} of {REQUESTS} requests ended without a complete answer {is_counted}"));
     Some(has_trouble && lost > 0)
 }
--- a/review/cases-2/src/site.rs
+++ b/review/cases-2/src/site.rs
@@ -74,11 +74,7 @@
 impl Drop for Site {
     fn drop(&mut self) {
         self.hosts.clear();
-        if std::env::var_os("KEEP").is_none() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        } else {
-            println!("kept {}", self.folder.display());
-        }
+        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -199,7 +195,8 @@
     let bearer = bearer();
     let headers = [("Host", CALLER_HOST), ("Authorization", bearer.as_str()), ("X-Wait-Ms", "500")];
     let path = format!("/lots/{job}?after={after}");
-    let answer = call(host, "GET", &path, &headers, None, Duration::from_secs(3)).filter(|answer| answer.status() == 200)?;
+    let answer =
+        call(host, "GET", &path, &headers, None, Duration::from_secs(3)).filter(|answer| answer.status() == 200)?;
     let page = Json::parse(&answer.body)?;
     let text = |result: &Json, name: &str| result.get(name).text().to_owned();
     let results = page.get("results").list().iter();
