Items take the output of signed responses only

Cause: each reader of responses decided for itself what counts as an answer. The one of items looked at neither the signature nor the content encoding, took the end of the connection for the end of the output, and skipped the weight version when the head named none.

Change: one judgement, relay::target_response::classify_response, for requests, items, gradings and forwarded requests, reached through HostContext::read_head. What an invalid head says of its target is not taken over: it ended the rate limit of a target in need. A first run is complete only with an event, and a resumed run without events only if its body shows where it ends. A 422 without a signature is one failed attempt instead of the end of the item.

Tests: item_http::only_signed_responses_have_the_output, unsigned_response_does_not_complete_a_resumed_run, invalid_response_does_not_end_a_limit and error_responses_map_to_outcomes failed before. The responses in these tests are signed now, as those of engines are; the 422 that must end an item is signed, and an unsigned one was added beside it.

--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 
+use hyper::http;
 use tokio::sync::watch;
 
 use crate::duties::usage_counter::UsageCounter;
@@ -22,6 +23,7 @@
 use crate::relay::stream_origins::StreamOrigins;
 use crate::relay::target_codec::{TargetCodec, TargetHead};
 use crate::relay::target_relay::LinkTable;
+use crate::relay::target_response::{ResponseKind, classify_response};
 use crate::row_store::RowStore;
 
 /// Most targets that are remembered as leaving.
@@ -106,8 +108,30 @@
         }
     }
 
-    /// Records what a response of a target says of the target itself.
-    pub fn record_notices(&self, target: &TargetEntry, head: &TargetHead) {
+    /// Decodes and classifies the head of a target's response to the request with this id, and records what it says of the
+    /// target itself. A head that does not belong to an answer to the request says nothing, and is logged.
+    pub fn read_head(
+        &self,
+        target: &TargetEntry,
+        head: &http::response::Parts,
+        request_id: &str,
+        is_reused: bool,
+    ) -> (TargetHead, ResponseKind) {
+        let target_head = (self.target_codec.decode)(head);
+        let kind = classify_response(head, &target_head, request_id, is_reused);
+        if kind == ResponseKind::Invalid {
+            log::info!(
+                request = request_id, target = target.id, status = head.status.as_u16(),
+                names:? = target_head.request_id, signed = target_head.stamp.is_some(), reused = is_reused;
+                "response_invalid"
+            );
+        } else {
+            self.record_notices(target, &target_head);
+        }
+        (target_head, kind)
+    }
+
+    fn record_notices(&self, target: &TargetEntry, head: &TargetHead) {
         self.record_limit(&target.id, head);
         if head.is_leaving && !head.is_misdirected {
             self.record_leaving(target);
--- a/src/jobs/grading_run.rs
+++ b/src/jobs/grading_run.rs
@@ -3,7 +3,7 @@
 
 use std::time::Instant;
 
-use hyper::header::{CONTENT_ENCODING, HeaderMap};
+use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 
 use crate::entry::host_context::{HostContext, RunningRequest};
@@ -14,6 +14,7 @@
 use crate::relay::connection_pool::{Exchange, ExchangeError, read_body};
 use crate::relay::target_codec::{SendOptions, TargetRequest};
 use crate::relay::target_relay::{SendRule, send_to_target};
+use crate::relay::target_response::ResponseKind;
 
 /// Largest response body that is read, in bytes; a larger one counts as lost.
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -92,23 +93,18 @@
     async fn read_response(&self, exchange: Exchange) -> GradingOutcome {
         let Exchange { response, connection, .. } = exchange;
         let (head, body) = response.into_parts();
-        let target_head = (self.context.target_codec.decode)(&head);
-        if target_head.request_id.as_deref() != Some(self.grading.id.as_str()) {
+        let (target_head, kind) = self.context.read_head(&self.target, &head, &self.grading.id, true);
+        if kind == ResponseKind::Invalid {
             return GradingOutcome::Lost;
         }
-        self.context.record_notices(&self.target, &target_head);
         if read_body(body, MAX_BODY_BYTES).await.is_err() {
             return GradingOutcome::Lost;
         }
         self.context.pool.give_back(connection, target_head.idle_limit);
-        if target_head.is_not_run || target_head.is_misdirected {
-            return GradingOutcome::Refused;
-        }
-        match (head.status, target_head.stamp) {
-            (status, Some(score)) if status.is_success() && !head.headers.contains_key(CONTENT_ENCODING) => {
-                GradingOutcome::Graded(score)
-            }
-            (StatusCode::INTERNAL_SERVER_ERROR, _) => GradingOutcome::Failed,
+        match (kind, target_head.stamp) {
+            (ResponseKind::Refusal | ResponseKind::Misdirection, _) => GradingOutcome::Refused,
+            (ResponseKind::Success, Some(score)) => GradingOutcome::Graded(score),
+            (ResponseKind::Failure, _) if head.status == StatusCode::INTERNAL_SERVER_ERROR => GradingOutcome::Failed,
             _ => GradingOutcome::Lost,
         }
     }
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use http_body_util::BodyExt;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +19,7 @@
 use crate::relay::event_reader::{EventReader, StreamEvent};
 use crate::relay::target_codec::{SendOptions, TargetRequest};
 use crate::relay::target_relay::{SendRule, record_unreachable, send_to_target};
+use crate::relay::target_response::ResponseKind;
 
 /// Time for connecting and reading the prompt, in which the response may take longer than a pause between two events.
 const RESPONSE_HEAD_MARGIN: Duration = Duration::from_millis(200);
@@ -207,18 +208,19 @@
     async fn read_response(&self, exchange: Exchange) -> (RunOutcome, u32) {
         let Exchange { response, connection, is_reused } = exchange;
         let (head, mut body) = response.into_parts();
-        let target_head = (self.context.target_codec.decode)(&head);
-        if !target_head.answers(&self.item.id, is_reused) {
-            return (RunOutcome::Broken, 0);
-        }
-        self.context.record_notices(&self.target, &target_head);
-        if head.status != StatusCode::OK || target_head.is_not_run {
-            let outcome = match head.status {
-                _ if target_head.is_misdirected => RunOutcome::Misdirected,
-                _ if target_head.is_not_run => RunOutcome::Refused,
-                StatusCode::UNPROCESSABLE_ENTITY => RunOutcome::Impossible,
-                _ => RunOutcome::Failed,
-            };
+        let (target_head, kind) = self.context.read_head(&self.target, &head, &self.item.id, is_reused);
+        let error = match (kind, head.status) {
+            (ResponseKind::Success, StatusCode::OK) => None,
+            (ResponseKind::Success | ResponseKind::Invalid, _) => return (RunOutcome::Broken, 0),
+            (ResponseKind::Misdirection, _) => Some(RunOutcome::Misdirected),
+            (ResponseKind::Refusal, _) => Some(RunOutcome::Refused),
+            // Without a signature, the rejection may come from elsewhere; another target may run the item.
+            (ResponseKind::Failure, StatusCode::UNPROCESSABLE_ENTITY) if target_head.stamp.is_some() => {
+                Some(RunOutcome::Impossible)
+            }
+            (ResponseKind::Failure, _) => Some(RunOutcome::Failed),
+        };
+        if let Some(outcome) = error {
             let read = tokio::time::timeout(self.pause_limit, read_body(body, MAX_ERROR_BODY_BYTES)).await;
             if matches!(read, Ok(Ok(_))) {
                 self.context.pool.give_back(connection, target_head.idle_limit);
@@ -229,6 +231,7 @@
         let mut version = target_head.version;
         // The head names no version when no events are left to generate, as when the former run broke off after the
         // last event.
+        let is_framed = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
         if version.is_some() && !self.accept_version(version) {
             return (RunOutcome::Misdirected, 0);
         }
@@ -300,6 +303,12 @@
                 }
             }
         }
+        // Every output has an event. A resumed run may have none left, but a body that ends with its connection is then no
+        // different from one that was cut off after the head.
+        let has_output = self.with_progress(|progress| !progress.data.is_empty());
+        if event_count == 0 && !(has_output && is_framed) {
+            return (RunOutcome::Broken, 0);
+        }
         self.context.pool.give_back(connection, target_head.idle_limit);
         self.with_progress(|progress| progress.is_complete = true);
         (RunOutcome::Complete, event_count)
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -17,4 +17,5 @@
 pub mod target_codec;
 pub mod target_links;
 pub mod target_relay;
+pub mod target_response;
 pub mod unanswered_attempt;
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -30,6 +30,7 @@
 use crate::relay::stream_origins::StreamOrigin;
 use crate::relay::target_codec::{SendOptions, TargetHead, TargetRequest};
 use crate::relay::target_relay::{SendRule, record_unreachable, send_to_target};
+use crate::relay::target_response::ResponseKind;
 use crate::relay::unanswered_attempt::UnansweredAttempt;
 use crate::traffic::crash_quarantine::fingerprint_of;
 use crate::traffic::quarantine::Fingerprint;
@@ -403,27 +404,24 @@
     };
     let Exchange { response, connection, is_reused } = exchange;
     let (head, body) = response.into_parts();
-    let target_head = (context.target_codec.decode)(&head);
-    // Checked before the refusals: a refusal of another request says nothing about this one.
-    if !target_head.answers(&relay.request.request_id, is_reused) {
-        record_target_failure(context, relay, &target, ExchangeError::Broken);
-        return AttemptOutcome::Lost;
-    }
-    context.record_notices(&target, &target_head);
-    if target_head.is_not_run || target_head.is_misdirected {
-        context.with_loads(|loads| {
-            if target_head.is_misdirected {
-                loads.record_failure(&target.id, boot_time());
-            } else {
-                loads.record_full(&target.id, boot_time());
-            }
-        });
-        drain_refusal(context, body, connection, &target_head).await;
-        return AttemptOutcome::NotRun;
-    }
-    if !is_acceptable_response(&head, &target_head) {
-        record_target_failure(context, relay, &target, ExchangeError::Broken);
-        return AttemptOutcome::Lost;
+    let (target_head, kind) = context.read_head(&target, &head, &relay.request.request_id, is_reused);
+    match kind {
+        ResponseKind::Success | ResponseKind::Failure => {}
+        ResponseKind::Refusal | ResponseKind::Misdirection => {
+            context.with_loads(|loads| {
+                if kind == ResponseKind::Misdirection {
+                    loads.record_failure(&target.id, boot_time());
+                } else {
+                    loads.record_full(&target.id, boot_time());
+                }
+            });
+            drain_refusal(context, body, connection, &target_head).await;
+            return AttemptOutcome::NotRun;
+        }
+        ResponseKind::Invalid => {
+            record_target_failure(context, relay, &target, ExchangeError::Broken);
+            return AttemptOutcome::Lost;
+        }
     }
     context.usage.record_start(relay.request.organisation.as_deref());
     if relay.stream == StreamStart::Begin && head.status.is_success() {
@@ -609,12 +607,6 @@
     }
 }
 
-/// Whether a response can be used: a success carries the signature header of targets and no content encoding.
-fn is_acceptable_response(head: &http::response::Parts, target_head: &TargetHead) -> bool {
-    let is_encoded = head.headers.contains_key(hyper::header::CONTENT_ENCODING);
-    !head.status.is_success() || (target_head.stamp.is_some() && !is_encoded)
-}
-
 /// Records that a target answered the request, which therefore does not crash targets.
 fn record_answer(context: &HostContext, relay: &RelayRequest<'_>) {
     if !context.crashes.is_empty() {
--- a/src/relay/request_forward.rs
+++ b/src/relay/request_forward.rs
@@ -21,6 +21,7 @@
 use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::{BodyError, ResponseBody};
 use crate::relay::target_relay::{TARGET_HEADER, send_directly};
+use crate::relay::target_response::ResponseKind;
 use crate::row_store::store_relay::relay_error;
 
 /// Most requests of other hosts that a host has in flight; further ones are refused.
@@ -72,12 +73,11 @@
     context.metrics.forwards.with_label_values(&["passed_on"]).inc();
     let Exchange { response, connection, is_reused } = exchange;
     let (mut head, body) = response.into_parts();
-    let target_head = (context.target_codec.decode)(&head);
     // The sender cannot tell whether the connection to the target was used before.
-    if !target_head.answers(&request_id, is_reused) {
+    let (target_head, kind) = context.read_head(target, &head, &request_id, is_reused);
+    if kind == ResponseKind::Invalid {
         return relay_error(ExchangeError::Broken);
     }
-    context.record_notices(target, &target_head);
     strip_connection_headers(&mut head.headers);
     let body = ForwardedBody {
         body,
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -14,6 +14,7 @@
 use camphorspring::entry::planned_stop::PlannedStop;
 use camphorspring::entry::settings::parse_installation_settings;
 use camphorspring::fleet::fleet_view::FleetView;
+use camphorspring::fleet::target_limit::LimitNotice;
 use camphorspring::fleet::target_load::LoadTable;
 use camphorspring::jobs::item_run::{ItemProgress, ItemRun};
 use camphorspring::jobs::item_scheduler::RunOutcome;
@@ -157,6 +158,15 @@
     address: SocketAddr,
     known_events: u64,
     pause_limit: Duration,
+) -> (RunOutcome, usize, Option<u64>, Vec<u64>) {
+    run_in(&context(), address, known_events, pause_limit)
+}
+
+fn run_in(
+    context: &Arc<HostContext>,
+    address: SocketAddr,
+    known_events: u64,
+    pause_limit: Duration,
 ) -> (RunOutcome, usize, Option<u64>, Vec<u64>) {
     let mut progress = ItemProgress::default();
     for id in 1..=known_events {
@@ -165,13 +175,12 @@
     let progress = Arc::new(Mutex::new(progress));
     let mut target = engine("e1", 2);
     target.address = address;
-    let context = context();
     context.with_loads(|loads| loads.start("e1", true, false, at(0)));
     let mut header = header(1);
     header.least_version = 2;
     let run = ItemRun {
-        running_request: RunningRequest::counted(&context, "e1", true),
-        context: Arc::clone(&context),
+        running_request: RunningRequest::counted(context, "e1", true),
+        context: Arc::clone(context),
         header: Arc::new(header),
         item: item(0),
         target,
@@ -189,7 +198,7 @@
 }
 
 fn stream(head: &str, body: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nid: i0\r\n{head}content-length: {}\r\n\r\n{body}", body.len())
+    format!("HTTP/1.1 200 OK\r\nid: i0\r\nstamp: s\r\n{head}content-length: {}\r\n\r\n{body}", body.len())
 }
 
 const TWO_EVENTS: &str = "id: 1\ndata: a\n\nversion: 3\nid: 2\ndata: b\n\n";
@@ -201,6 +210,49 @@
     expect_that!(run_against(&stream("", ""), 14), eq(&(RunOutcome::Complete, 14, Some(14), vec![2])));
 }
 
+/// Guards against a result whose text is empty or is not the output: a success without the signature of the engine, one that
+/// is encoded, and one without any event.
+#[gtest]
+fn only_signed_responses_have_the_output() {
+    let broken = || (RunOutcome::Broken, 0, None, vec![]);
+    let spoiled = "HTTP/1.1 200 OK\r\nid: i0\r\n\r\n";
+    expect_that!(run_against(spoiled, 0), eq(&broken()));
+    let unsigned = stream("version: 2\r\n", TWO_EVENTS).replace("stamp: s\r\n", "");
+    expect_that!(run_against(&unsigned, 0), eq(&broken()));
+    expect_that!(run_against(&stream("version: 2\r\ncontent-encoding: gzip\r\n", TWO_EVENTS), 0), eq(&broken()));
+    let cut = "HTTP/1.1 200 OK\r\nid: i0\r\nstamp: s\r\nversion: 2\r\n\r\n";
+    expect_that!(run_against(cut, 0), eq(&broken()));
+    expect_that!(run_against(&stream("", ""), 0), eq(&broken()));
+    expect_that!(run_against(&stream("version: 2\r\n", ""), 0), eq(&broken()));
+}
+
+/// Guards against the end of the rate limit of an engine in need, because of a response that is not the engine's: one without a
+/// signature, or one to another request.
+#[gtest]
+fn invalid_response_does_not_end_a_limit() {
+    let limit_after = |response: &str| {
+        let context = context();
+        let notice = LimitNotice { target: "e1".to_owned(), rate: Some(4000), at_ms: 0 };
+        context.with_loads(|loads| loads.limits.merge(notice));
+        run_in(&context, serve_once(response.to_owned()), 0, STREAM_PAUSE);
+        context.with_loads(|loads| loads.limits.rate("e1"))
+    };
+    let sound = stream("version: 2\r\n", TWO_EVENTS);
+    expect_that!(limit_after(&sound.replace("stamp: s\r\n", "")), some(eq(4000)));
+    expect_that!(limit_after(&sound.replace("id: i0", "id: i1")), some(eq(4000)));
+    expect_that!(limit_after(&sound), none());
+}
+
+/// Guards against an item that counts as complete after a part of its output, because the engine that should go on with it
+/// sent a response without a signature or without an end.
+#[gtest]
+fn unsigned_response_does_not_complete_a_resumed_run() {
+    let kept = || (RunOutcome::Broken, 14, Some(14), vec![2]);
+    expect_that!(run_against("HTTP/1.1 200 OK\r\nid: i0\r\n\r\n", 14), eq(&kept()));
+    expect_that!(run_against(&stream("", "").replace("stamp: s\r\n", ""), 14), eq(&kept()));
+    expect_that!(run_against("HTTP/1.1 200 OK\r\nid: i0\r\nstamp: s\r\n\r\n", 14), eq(&kept()));
+}
+
 /// Guards against results that name no weight version, or one that did not generate their events.
 #[gtest]
 fn versions_are_those_of_the_events() {
@@ -220,7 +272,7 @@
     let cut = stream("version: 2\r\n", TWO_EVENTS);
     let cut = &cut[..cut.len() - 4];
     expect_that!(run_against(cut, 0), eq(&(RunOutcome::Broken, 1, Some(1), vec![2])));
-    let unframed = "HTTP/1.1 200 OK\r\nid: i0\r\nversion: 2\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata";
+    let unframed = "HTTP/1.1 200 OK\r\nid: i0\r\nstamp: s\r\nversion: 2\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata";
     expect_that!(run_against(unframed, 0), eq(&(RunOutcome::Broken, 1, Some(1), vec![2])));
     let gap = stream("version: 2\r\n", "id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
     expect_that!(run_against(&gap, 0), eq(&(RunOutcome::Broken, 1, Some(1), vec![2])));
@@ -235,7 +287,10 @@
         response("200 OK", "id: other\r\nversion: 2\r\n"),
         response("503 Full", "id: i0\r\nnot-run: 1\r\n"),
         response("421 Misdirected", "id: i0\r\n"),
+        response("422 Never", "id: i0\r\nstamp: s\r\n"),
+        // One rejection without a signature does not abandon the item.
         response("422 Never", "id: i0\r\n"),
+        response("422 Never", "id: i0\r\nstamp: s\r\ncontent-encoding: gzip\r\n"),
         response("500 Failed", "id: i0\r\n"),
         "garbage\r\n\r\n".to_owned(),
     ]
@@ -247,11 +302,13 @@
         RunOutcome::Impossible,
         RunOutcome::Failed,
         RunOutcome::Broken,
+        RunOutcome::Failed,
+        RunOutcome::Broken,
     ];
     expect_that!(outcomes, eq(expected));
 }
 
-const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nid: i0\r\nversion: 2\r\nconnection: close\r\n\r\n";
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nid: i0\r\nstamp: s\r\nversion: 2\r\nconnection: close\r\n\r\n";
 
 /// Guards against a run that never ends: its engine has stopped generating and sends a comment line, or a part of an
 /// event, now and then.
@@ -273,7 +330,7 @@
 #[gtest]
 fn slow_streams_are_complete() {
     let slow = serve_pieces(
-        "HTTP/1.1 200 OK\r\nid: i0\r\nversion: 2\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nid: i0\r\nstamp: s\r\nversion: 2\r\ntransfer-encoding: chunked\r\n\r\n",
         |number| {
             let event = format!("id: {number}\ndata: x\n\n");
             if number <= 12 { format!("{:x}\r\n{event}\r\n", event.len()) } else { "0\r\n\r\n".to_owned() }
