Pass statuses that promise "not run" on only from refusals

Callers saw: 408, 429 or 503 of a target that did not say that it had not run the request. Callers take these statuses as a promise, and send a request that may run once again.

Cause: any error that was no refusal was passed on with its status.

Change: such a response is invalid unless it is a refusal, so that the attempt counts as one without an answer: 502, or another target where the request may be repeated.

Test: relay::answers::error_is_no_promise_without_a_refusal failed before for 408, 429 and 503, signed and unsigned, on both kinds of routes (12 of 12 responses were passed on); it holds now, with 94 others of relay and jobs.

--- a/src/relay/target_response.rs
+++ b/src/relay/target_response.rs
@@ -5,7 +5,7 @@
 //! arrive late. A success therefore counts only with the signature of its target.
 
 use hyper::header::CONTENT_ENCODING;
-use hyper::http;
+use hyper::{StatusCode, http};
 
 use crate::relay::target_codec::TargetHead;
 
@@ -44,7 +44,7 @@
         return if is_error { ResponseKind::Refusal } else { ResponseKind::Invalid };
     }
     // Requests ask for no encoding, so that an encoded body is not the one that the target sent.
-    if head.headers.contains_key(CONTENT_ENCODING) {
+    if head.headers.contains_key(CONTENT_ENCODING) || promises_no_run(status) {
         return ResponseKind::Invalid;
     }
     match (status.is_success(), target_head.stamp.is_some()) {
@@ -53,3 +53,14 @@
         (false, _) => ResponseKind::Failure,
     }
 }
+
+/// Whether callers take a response with this status as a promise that the request has not run and never will.
+fn promises_no_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- a/tests/integration/jobs.rs
+++ b/tests/integration/jobs.rs
@@ -1,7 +1,7 @@
 //! Batch jobs: scheduling and runs of items, grading of their outputs (`waves`: start times of short and long items), stored rows, takeover,
 //! reads and removal.
 
-mod gradings;
+pub mod gradings;
 pub mod item_http;
 mod plan;
 mod progress;
--- a/tests/integration/jobs/gradings.rs
+++ b/tests/integration/jobs/gradings.rs
@@ -129,7 +129,7 @@
 }
 
 /// Grades an output against a target that sends `response`, with a timeout of half a second.
-fn grade_against(response: &str) -> GradingOutcome {
+pub fn grade_against(response: &str) -> GradingOutcome {
     let mut target = engine("p1", 1);
     target.address = serve_once(response.to_owned());
     let context = context();
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -292,6 +292,8 @@
         response("422 Never", "id: i0\r\n"),
         response("422 Never", "id: i0\r\nstamp: s\r\ncontent-encoding: gzip\r\n"),
         response("500 Failed", "id: i0\r\n"),
+        // Only a response that says so is a refusal.
+        response("503 Full", "id: i0\r\n"),
         "garbage\r\n\r\n".to_owned(),
     ]
     .map(|response| run_against(&response, 0).0);
@@ -304,6 +306,7 @@
         RunOutcome::Broken,
         RunOutcome::Failed,
         RunOutcome::Broken,
+        RunOutcome::Broken,
     ];
     expect_that!(outcomes, eq(expected));
 }
--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 
 use crate::fleet::builders::{at, engine, plain_route, view};
-use crate::jobs::item_http::{context_with_view, serve_pieces};
+use crate::jobs::item_http::{context_with_view, serve_once, serve_pieces};
 
 /// Starts a target that answers the first request on its connection, and answers the second one with `extra` and its own
 /// response in one packet; returns its address and the number of requests that it got.
@@ -63,6 +63,15 @@
 
 /// Sends request `r<number>` through the relay; returns the response that the caller gets.
 pub async fn send(context: &Arc<HostContext>, route: &RouteRule, number: u32) -> Response<ResponseBody> {
+    send_with(context, route, number, StreamStart::NotResumable).await
+}
+
+async fn send_with(
+    context: &Arc<HostContext>,
+    route: &RouteRule,
+    number: u32,
+    stream: StreamStart,
+) -> Response<ResponseBody> {
     let request = TargetRequest {
         method: Method::POST,
         path: "/plain/x".to_owned(),
@@ -75,7 +84,7 @@
     let relay = RelayRequest {
         request,
         route,
-        stream: StreamStart::NotResumable,
+        stream,
         view: context.view(),
         arrived_at: boot_time(),
         patience: None,
@@ -84,6 +93,12 @@
     relay_request(context, relay).await
 }
 
+/// Runs a future to its end.
+pub fn run<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("the runtime starts");
+    runtime.block_on(future)
+}
+
 /// Sends two requests of a route to one target, the second on the connection of the first; returns the status of the
 /// second one, and the number of requests that reached the target.
 fn second_status(kind: RouteKind, extra: &'static str) -> (u16, u32) {
@@ -122,6 +137,28 @@
     expect_that!(second_status(RouteKind::Repeatable, failure), eq((502, 2)));
 }
 
+/// Guards against a caller that takes a response for the promise that its request has not run, although its target has not said
+/// so; of such a response, only the caller's next attempt is of use.
+#[gtest]
+fn error_is_no_promise_without_a_refusal() {
+    let status_after = |kind: RouteKind, head: &str| {
+        let response = format!("HTTP/1.1 {head}\r\nid: r1\r\ncontent-length: 0\r\n\r\n");
+        let context = context_with_target(serve_once(response));
+        run(send(&context, &route(kind), 1)).status().as_u16()
+    };
+    for kind in [RouteKind::AtMostOnce, RouteKind::Repeatable] {
+        for status in ["408 Late", "429 Busy", "503 Full"] {
+            expect_that!(status_after(kind, status), eq(502), "{status}");
+            expect_that!(status_after(kind, &format!("{status}\r\nstamp: s")), eq(502), "{status}, signed");
+            expect_that!(status_after(kind, &format!("{status}\r\nnot-run: 1")), eq(503), "{status}, not run");
+        }
+        // A success that was not run is neither.
+        expect_that!(status_after(kind, "200 OK\r\nstamp: s\r\nnot-run: 1"), eq(502));
+        expect_that!(status_after(kind, "404 None\r\nstamp: s"), eq(404));
+        expect_that!(status_after(kind, "500 Failed\r\nstamp: s"), eq(500));
+    }
+}
+
 /// Reads a forwarded event stream to its end; returns the number of bytes, and whether the stream is complete.
 fn read_stream(address: SocketAddr) -> (usize, bool) {
     let context = context_with_target(address);
--- a/tests/integration/relay/endless.rs
+++ b/tests/integration/relay/endless.rs
@@ -17,7 +17,7 @@
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode};
 
-use super::answers::{context_with_target, route, send};
+use super::answers::{context_with_target, route, run, send};
 use crate::jobs::item_http::{context, run_at};
 
 /// Largest body that the tests read.
@@ -55,11 +55,6 @@
     Request::post("/").header("host", "e").body(SendBody::default()).expect("the request is valid")
 }
 
-fn run<T>(future: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("the runtime starts");
-    runtime.block_on(future)
-}
-
 /// Guards against a sender of bytes without end that occupies the thread of all callers, or fills the memory: the connection is
 /// closed after some hundred kilobytes, whatever part of an answer does not end.
 #[gtest]
