Take a response whose status HTTP does not know for no response

Callers saw: 600, 777 and 999 of a target as they were, with its body, and a 101 as 502 with the target's signature. 000, 001, 099 and lines with more or fewer digits reached no caller before either: the HTTP libraries refuse them.

Cause: the libraries parse any status from 100 to 999, and each reader passed on what it had no rule for.

Change: one check, is_final_status, in classify_response (requests, streams, items, gradings, forwarded requests), in ConnectionPool::fetch (store, peers, platform) and in the client of plain services of camphorspring serve, which also stored such an answer for an idempotency key.

--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -20,6 +20,7 @@
 
 use crate::prelude::*;
 use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
+use crate::relay::target_response::is_final_status;
 
 /// Body of a request that is sent through the pool; complete, so that an unsent request can be sent again.
 pub type SendBody = Full<Bytes>;
@@ -182,8 +183,8 @@
     ///
     /// # Errors
     ///
-    /// No connection could be made, the connection broke before the end of the response, or the body is larger than
-    /// `max_bytes`.
+    /// No connection could be made, the connection broke before the end of the response, its status is none of HTTP, or the
+    /// body is larger than `max_bytes`.
     pub async fn fetch(
         &self,
         address: SocketAddr,
@@ -192,6 +193,9 @@
     ) -> Result<Response<Bytes>, ExchangeError> {
         let Exchange { response, connection, .. } = self.send(address, request).await?;
         let (head, body) = response.into_parts();
+        if !is_final_status(head.status) {
+            return Err(ExchangeError::Broken);
+        }
         let bytes = read_body(body, max_bytes).await?;
         self.give_back(connection, None);
         Ok(Response::from_parts(head, bytes))
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
-use hyper::{Response, StatusCode, http};
+use hyper::{Response, http};
 
 use crate::entry::host_context::{HostContext, RunningRequest};
 use crate::fleet::fleet_view::{FleetView, TargetEntry};
@@ -649,7 +649,7 @@
 
 fn build_response(head: http::response::Parts, body: ResponseBody) -> Response<ResponseBody> {
     let mut response = Response::new(body);
-    *response.status_mut() = if head.status.is_informational() { StatusCode::BAD_GATEWAY } else { head.status };
+    *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
     strip_connection_headers(response.headers_mut());
     response
--- a/src/relay/target_response.rs
+++ b/src/relay/target_response.rs
@@ -33,7 +33,7 @@
     is_reused: bool,
 ) -> ResponseKind {
     let status = head.status;
-    if !target_head.answers(request_id, is_reused) {
+    if !target_head.answers(request_id, is_reused) || !is_final_status(status) {
         return ResponseKind::Invalid;
     }
     if target_head.is_misdirected {
@@ -54,6 +54,12 @@
     }
 }
 
+/// Whether HTTP has final responses with this status; a status line may hold any three digits.
+#[must_use]
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether callers take a response with this status as a promise that the request has not run and never will.
 fn promises_no_run(status: StatusCode) -> bool {
     matches!(
--- a/src/traffic/plain_client.rs
+++ b/src/traffic/plain_client.rs
@@ -7,6 +7,7 @@
 
 use crate::http_server::HeaderPair;
 use crate::prelude::*;
+use crate::relay::target_response::is_final_status;
 use crate::traffic::idle_transport::{ExchangeLimits, StopCheck, TargetExchange, is_stopped};
 
 /// Maximum size of the response body of a plain service.
@@ -56,7 +57,7 @@
 /// Whole response of a plain service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlainAnswer {
-    /// HTTP status; any status counts as a response.
+    /// HTTP status from 200 to 599; any of these counts as a response.
     pub status: u16,
     /// Response headers that passed [`forwarded_headers`].
     pub headers: Vec<HeaderPair>,
@@ -69,7 +70,7 @@
 pub enum PlainError {
     /// No byte of the request left this host.
     NotSent,
-    /// The connection failed or closed before the response was complete.
+    /// The connection failed or closed before the response was complete, or its status is none of HTTP.
     NoAnswer,
     /// The response was not complete within the time limit.
     Timeout,
@@ -138,6 +139,9 @@
         exchange.agent.run(request)
     };
     let mut response = response.map_err(|error| classify_error(&error))?;
+    if !is_final_status(response.status()) {
+        return Err(PlainError::NoAnswer);
+    }
     let body = response
         .body_mut()
         .with_config()
--- a/tests/integration/relay.rs
+++ b/tests/integration/relay.rs
@@ -5,4 +5,5 @@
 mod endless;
 mod events;
 mod links;
+mod odd_statuses;
 mod streams;
--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -66,6 +66,11 @@
     send_with(context, route, number, StreamStart::NotResumable).await
 }
 
+/// Like [`send`], for a request whose response is a stream that begins.
+pub async fn send_stream(context: &Arc<HostContext>, route: &RouteRule, number: u32) -> Response<ResponseBody> {
+    send_with(context, route, number, StreamStart::Begin).await
+}
+
 async fn send_with(
     context: &Arc<HostContext>,
     route: &RouteRule,
