Take a write for not done only where the store's status says so

Callers would see: a submission refused with 503, although its job was stored and runs, after an answer of the store with 500, 502, 504 or another status that does not say whether the write was done.

Cause: both store clients took each status that is no success for a refusal.

Change: store_client::status_error, for both: 400 to 499 and 503 are refusals, anything else is a lost answer.

Found by reading; no site has shown it.

--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -19,10 +19,10 @@
 pub enum StoreCallError {
     /// The request was not sent, so the action did not take effect.
     NotSent,
-    /// The request may have been sent and no complete answer arrived; the action may have taken effect, or may still do
-    /// so.
+    /// The request may have been sent, and no complete answer arrived, or one that does not say whether the action took effect;
+    /// it may have, or may still do so.
     AnswerLost,
-    /// The platform answered with this HTTP status, which is not a success; the action did not take effect.
+    /// The platform answered with this HTTP status, which says that the action did not take effect.
     Refused(u16),
     /// The answer could not be decoded; the action may have taken effect.
     Malformed,
@@ -118,7 +118,7 @@
         let response = request.send(content).map_err(|error| fault_of(&error))?;
         match response.status().as_u16() {
             200..=299 | 412 => Ok(()),
-            status => Err(StoreCallError::Refused(status)),
+            status => Err(status_error(status)),
         }
     }
 
@@ -140,7 +140,7 @@
                 .map(Some)
                 .map_err(|_| StoreCallError::AnswerLost),
             404 => Ok(None),
-            status => Err(StoreCallError::Refused(status)),
+            status => Err(status_error(status)),
         }
     }
 
@@ -174,7 +174,7 @@
         let response = request.send(report).map_err(|error| fault_of(&error))?;
         match response.status().as_u16() {
             200..=299 => Ok(()),
-            status => Err(StoreCallError::Refused(status)),
+            status => Err(status_error(status)),
         }
     }
 
@@ -225,6 +225,15 @@
     }
 }
 
+/// Error for a status that is no success. Only some statuses say that the action did not take effect.
+#[must_use]
+pub fn status_error(status: u16) -> StoreCallError {
+    match status {
+        400..=499 | 503 => StoreCallError::Refused(status),
+        _ => StoreCallError::AnswerLost,
+    }
+}
+
 /// Decodes a JSON response with a success status.
 fn read_answer<T: DeserializeOwned>(response: &mut ureq::http::Response<ureq::Body>) -> Result<T, StoreCallError> {
     match response.status().as_u16() {
@@ -237,7 +246,7 @@
                 .map_err(|_| StoreCallError::AnswerLost)?;
             serde_json::from_slice(&bytes).map_err(|_| StoreCallError::Malformed)
         }
-        status => Err(StoreCallError::Refused(status)),
+        status => Err(status_error(status)),
     }
 }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -23,6 +23,8 @@
 mod orders;
 mod peer_frames;
 mod planned_stop;
+#[path = "../../platform/store.rs"]
+mod platform_store;
 mod policy;
 mod process_faults;
 mod quarantine;
@@ -30,6 +32,7 @@
 mod report;
 mod samples;
 mod settings;
+mod store_statuses;
 mod stored_rows;
 mod support;
 mod traffic_bench;
--- a/tests/integration/relay.rs
+++ b/tests/integration/relay.rs
@@ -1,6 +1,6 @@
 //! Plain requests: target choice, and responses on connections in use again. The event stream parser.
 
-mod answers;
+pub mod answers;
 mod attempts;
 mod endless;
 mod events;
