Let a large answer last as long as its route, also while its engine is silent

Cause: an answer that is passed on as it arrives got the pause limit of event streams, whatever its kind.

Change: the limit applies to event streams only; other answers end with the deadline of the caller or the time-out of the route, and without either after 30 s of silence. The limit of streams is now twice the pause after which callers leave, so that callers, not hosts, end them.

--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -53,11 +53,14 @@
 /// Longest time that a stream waits until its origin is stored, before its first event is passed on.
 const MAX_ORIGIN_WAIT: Duration = Duration::from_millis(150);
 
-/// Shortest pause after which a forwarded response counts as stalled; callers leave a stream after such a pause.
-const MIN_STREAM_PAUSE: Duration = Duration::from_secs(2);
+/// Shortest pause after which a forwarded event stream counts as stalled, twice the one after which callers leave a stream.
+const MIN_STREAM_PAUSE: Duration = Duration::from_secs(4);
 
-/// A forwarded response may pause for this many times the objective of its route.
-const STREAM_PAUSE_OBJECTIVES: u32 = 4;
+/// A forwarded event stream may pause for this many times the objective of its route, twice as long as callers wait.
+const STREAM_PAUSE_OBJECTIVES: u32 = 8;
+
+/// Pause after which a forwarded response that is no event stream counts as stalled; it usually ends with its time limit before.
+const BODY_PAUSE: Duration = DEFAULT_TIMEOUT;
 
 /// Outcome of one attempt.
 #[derive(Debug)]
@@ -473,7 +476,8 @@
         }
     }
     let idle_limit = target_head.idle_limit;
-    let pause_limit = (relay.route.objective * STREAM_PAUSE_OBJECTIVES).max(MIN_STREAM_PAUSE);
+    let pause_limit =
+        if is_stream { (relay.route.objective * STREAM_PAUSE_OBJECTIVES).max(MIN_STREAM_PAUSE) } else { BODY_PAUSE };
     let streamed = StreamedResponse {
         request_id: relay.request.request_id.clone(),
         fingerprint: relay.fingerprint().clone(),
