Let streams that go on clear their request of crashed targets

Cause: a request under which three targets end is held back until it is answered, and only the end of a stream was an answer. The streams of the question that went on at other targets showed nothing.

Change: reports say how far their stream had come, and a stream that has passed that event by three clears them at all hosts. A request that ends its targets at its start or after some events is held back as before. The field of the row is optional in both directions: hosts of the version before ignore it, and reports without it are cleared by whole answers only.

Tests: relay::answers::stream_that_goes_on_releases_its_request failed before; fleet::crashes::streams_that_go_on_release_their_request has the decisions, reports_without_events_are_cleared_by_answers_only the older rows.

--- a/src/fleet/crash_table.rs
+++ b/src/fleet/crash_table.rs
@@ -6,7 +6,8 @@
 //! - The entry of the target goes, or shows another start, within a few seconds after a crash. A target that renews its entry
 //!   instead has not crashed, and the report is dropped.
 //! - A request that crashes targets is never answered. One answer at any host clears a request of all reports before it, so
-//!   that a request that callers repeat all the time does not collect the crashes that happen under it by chance.
+//!   that a request that callers repeat all the time does not collect the crashes that happen under it by chance. The same
+//!   holds for an event stream that goes on beyond the events at which other streams of the request broke off.
 //!
 //! A request that ended unanswered on an open connection, as at its deadline, is reported too, and counts only once its target
 //! has ended.
@@ -25,6 +26,9 @@
 /// Reports since the last answer from which on a request is held back.
 pub const HOLD_LIMIT: usize = 3;
 
+/// Events by which a stream must have passed the end of another one to show that the request did not end the target of that one.
+pub const PROGRESS_MARGIN: u64 = 3;
+
 /// Delay of each trial of a request that is held back, from the last report or trial on; further trials have the last delay. The
 /// first one is short for the sake of sound requests.
 pub const TRIAL_DELAYS: [Duration; 4] =
@@ -79,6 +83,10 @@
     pub is_broken: bool,
     /// Whether the target is known to have ended.
     pub is_confirmed: bool,
+    /// Number of the last event that the target had sent, 0 for none; the highest one of several streams. `None` when unknown, as
+    /// for a stream that was taken up and got no event, and in rows of hosts that do not write it.
+    #[serde(default)]
+    pub last_event: Option<u64>,
 }
 
 impl CrashReport {
@@ -215,6 +223,8 @@
                 let known = &mut self.reports[position];
                 known.report.is_confirmed |= new.report.is_confirmed;
                 known.report.is_broken |= new.report.is_broken;
+                let events = known.report.last_event.zip(new.report.last_event);
+                known.report.last_event = events.map(|(known, new)| known.max(new));
                 if is_stored {
                     known.is_stored = new.report.is_confirmed || known.ended_at.is_none();
                 }
@@ -264,6 +274,23 @@
         self.trials.retain(|trial| trial.fingerprint != fingerprint);
     }
 
+    /// Records that a stream of a request has got the event with this number. Clears the request of the reports on streams that broke
+    /// off well before that event, and of its trials once no report is left; returns whether a report was cleared.
+    pub fn record_progress(&mut self, fingerprint: &str, event: u64) -> bool {
+        let cleared = self.take_reports(|known| {
+            let is_passed = known.report.last_event.is_some_and(|last| event >= last.saturating_add(PROGRESS_MARGIN));
+            known.report.fingerprint == fingerprint && is_passed
+        });
+        if cleared.is_empty() {
+            return false;
+        }
+        self.cleared_rows.extend(cleared.iter().map(CrashReport::row_key));
+        if !self.reports.iter().any(|known| known.report.fingerprint == fingerprint) {
+            self.record_answer(fingerprint);
+        }
+        true
+    }
+
     /// Records that a renewed entry of a target was read. Drops the reports on this start of the target that are older than
     /// `RENEWAL_MARGIN`, since the target lives, and returns them.
     pub fn record_renewal(&mut self, target: &str, started_ms: Option<u64>, now: BootTime) -> Vec<CrashReport> {
--- a/src/relay/crash_reports.rs
+++ b/src/relay/crash_reports.rs
@@ -75,6 +75,13 @@
         self.changed.notify_one();
     }
 
+    /// Records that a stream of a request has got the event with this number.
+    pub fn record_progress(&self, fingerprint: &str, event: u64) {
+        if self.lock().record_progress(fingerprint, event) {
+            self.changed.notify_one();
+        }
+    }
+
     /// Applies an event of the table [`DUTY_TABLE`]; rows of other kinds are ignored.
     pub fn apply_event(&self, event: &WatchEvent, store_ms: u64, now: BootTime) {
         let mut table = self.lock();
@@ -165,13 +172,14 @@
 }
 
 /// Reports that a target did not answer a request that was sent to it at `sent_at`, unless the target may be leaving
-/// as planned.
+/// as planned. `last_event` is the number of the last event of its stream, see [`CrashReport::last_event`].
 pub fn report_unanswered(
     context: &HostContext,
     fingerprint: &str,
     target: &TargetEntry,
     sent_at: BootTime,
     end: UnansweredEnd,
+    last_event: Option<u64>,
 ) {
     let view = context.view();
     let entry = view.target(&target.id).filter(|entry| entry.started_ms == target.started_ms);
@@ -192,11 +200,15 @@
         host: context.settings.host.clone(),
         is_broken: end == UnansweredEnd::Broken,
         is_confirmed: false,
+        last_event,
     };
     let is_added = context.crashes.lock().add_own(report, boot_time());
     let outcome = if is_added { "reported" } else { "too_many" };
     context.metrics.crash_reports.with_label_values(&[outcome]).inc();
-    log::info!(fingerprint = fingerprint, target = target.id, end:? = end, outcome = outcome; "target_did_not_answer");
+    log::info!(
+        fingerprint = fingerprint, target = target.id, end:? = end, last_event:? = last_event, outcome = outcome;
+        "target_did_not_answer"
+    );
     context.crashes.changed.notify_one();
 }
 
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -135,6 +135,17 @@
         [self.patience, self.route.timeout].into_iter().flatten().min()
     }
 
+    /// Number of the last event before those of the next response, as in [`CrashReport::last_event`].
+    ///
+    /// [`CrashReport::last_event`]: crate::fleet::crash_table::CrashReport::last_event
+    #[must_use]
+    pub fn first_event(&self) -> Option<u64> {
+        match self.stream {
+            StreamStart::Continue(_) => None,
+            StreamStart::NotResumable | StreamStart::Begin => Some(0),
+        }
+    }
+
     /// Fingerprint of the request, which is the same each time that its caller sends it.
     #[must_use]
     pub fn fingerprint(&self) -> &Fingerprint {
@@ -400,7 +411,8 @@
         Err(error) => {
             record_target_failure(context, relay, &target, error);
             if error == ExchangeError::Broken {
-                report_unanswered(context, relay.fingerprint(), &target, now, UnansweredEnd::Broken);
+                let last_event = relay.first_event();
+                report_unanswered(context, relay.fingerprint(), &target, now, UnansweredEnd::Broken, last_event);
             }
             return if error == ExchangeError::NotConnected { AttemptOutcome::NotRun } else { AttemptOutcome::Lost };
         }
@@ -470,7 +482,8 @@
             Some(Ok(frame)) => buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
             Some(Err(_)) => {
                 record_target_failure(context, relay, target, ExchangeError::Broken);
-                report_unanswered(context, relay.fingerprint(), target, sent_at, UnansweredEnd::Broken);
+                let last_event = relay.first_event();
+                report_unanswered(context, relay.fingerprint(), target, sent_at, UnansweredEnd::Broken, last_event);
                 return AttemptOutcome::Lost;
             }
         }
@@ -484,6 +497,7 @@
         target: target.clone(),
         sent_at,
         events: is_stream.then(EventReader::new),
+        last_event: relay.first_event(),
         pause_limit,
         stalls_at: tokio::time::Instant::now() + pause_limit,
         ends_at: relay
@@ -520,6 +534,8 @@
     sent_at: BootTime,
     /// Finds the events of an event stream; `None` when any data counts as progress.
     events: Option<EventReader>,
+    /// Number of the last event; `None` while it is unknown.
+    last_event: Option<u64>,
     /// Time without progress after which the response breaks off.
     pause_limit: Duration,
     /// When the response breaks off without further progress.
@@ -538,7 +554,24 @@
 
     /// Records that the target did not complete the response.
     fn report_unanswered(&self, end: UnansweredEnd) {
-        report_unanswered(&self.context, &self.fingerprint, &self.target, self.sent_at, end);
+        report_unanswered(&self.context, &self.fingerprint, &self.target, self.sent_at, end, self.last_event);
+    }
+
+    /// Whether a frame has data and, in an event stream, completes an event: a stalled target may still send comments.
+    fn makes_progress(&mut self, frame: &Frame<Bytes>) -> bool {
+        let Some(data) = frame.data_ref() else { return false };
+        let Some(reader) = &mut self.events else { return !data.is_empty() };
+        let events = reader.push(data, |_| None).unwrap_or_default();
+        for event in &events {
+            self.last_event = event.id.or(self.last_event.map(|last| last + 1));
+        }
+        if !events.is_empty()
+            && let Some(event) = self.last_event
+            && !self.context.crashes.is_empty()
+        {
+            self.context.crashes.record_progress(&self.fingerprint, event);
+        }
+        !events.is_empty()
     }
 }
 
@@ -547,7 +580,7 @@
     let next = tokio::time::timeout_at(streamed.break_off_at(), streamed.body.frame()).await;
     match next {
         Ok(Some(Ok(frame))) => {
-            if makes_progress(&frame, streamed.events.as_mut()) {
+            if streamed.makes_progress(&frame) {
                 streamed.stalls_at = tokio::time::Instant::now() + streamed.pause_limit;
             }
             // The timeout above never ends while frames are always ready.
@@ -578,12 +611,6 @@
     (Err("the target stalled".into()), streamed)
 }
 
-/// Whether a frame has data and, in an event stream, completes an event: a stalled target may still send comments.
-fn makes_progress(frame: &Frame<Bytes>, events: Option<&mut EventReader>) -> bool {
-    let Some(data) = frame.data_ref() else { return false };
-    events.map_or(!data.is_empty(), |reader| reader.push(data, |_| None).is_ok_and(|events| !events.is_empty()))
-}
-
 /// Wrapper around the stream of body frames of a forwarded response; only delegates.
 struct FrameStream<S>(S);
 
--- a/tests/integration/fleet/crashes.rs
+++ b/tests/integration/fleet/crashes.rs
@@ -19,6 +19,7 @@
         host: host.to_owned(),
         is_broken: true,
         is_confirmed: false,
+        last_event: Some(0),
     }
 }
 
@@ -56,6 +57,52 @@
     expect_that!(table.take_cleared_rows().len(), eq(3));
 }
 
+/// Guards against streams of one question that are refused because a zone of targets crashed under other streams of it, and
+/// against a request that is released although it crashes each target after a few events.
+#[gtest]
+fn streams_that_go_on_release_their_request() {
+    let table_with_streams = || {
+        let mut table = CrashTable::default();
+        for (target, last_event) in [("e1", 14), ("e2", 11), ("e3", 12)] {
+            let report = CrashReport { last_event: Some(last_event), ..report(target, "h1", 1_000) };
+            assert!(table.add_own(report, at(1_000)));
+        }
+        table
+    };
+    let mut table = table_with_streams();
+    // Another stream that ends a little later may end its target as well.
+    expect_that!(table.record_progress("a", 13), eq(false));
+    expect_that!(table.check("a", 1_100), eq(held_until_trial(0, 100)));
+    table.apply_trial(RequestTrial { fingerprint: "a".to_owned(), number: 0, at_ms: 1_200 });
+    expect_that!(table.record_progress("b", 100), eq(false));
+    expect_that!(table.record_progress("a", 17), eq(true));
+    expect_that!(table.check("a", 1_300), eq(CrashVerdict::Free));
+    expect_that!(table.is_empty(), eq(true));
+    // Three reports and the trial.
+    expect_that!(table.take_cleared_rows().len(), eq(4));
+
+    // A stream that a further crash follows at once has not shown more than the ones before.
+    let mut table = table_with_streams();
+    for event in 1..=13 {
+        table.record_progress("a", event);
+    }
+    expect_that!(table.check("a", 1_100), eq(held_until_trial(0, 100)));
+}
+
+/// Guards against a report of a host of another version that streams clear although they may not have come as far.
+#[gtest]
+fn reports_without_events_are_cleared_by_answers_only() {
+    let row = r#"{"fingerprint":"a","target":"e1","started_ms":1,"at_ms":1000,"host":"h2","is_broken":true,"is_confirmed":true}"#;
+    let report: CrashReport = serde_json::from_str(row).expect("the row is of the version before");
+    expect_that!(report.last_event, none());
+    let mut table = CrashTable::default();
+    table.apply_report(report.clone(), 1_000, at(1_000));
+    table.add_own(CrashReport { last_event: Some(4), ..report }, at(1_000));
+    expect_that!(table.record_progress("a", 1_000), eq(false));
+    table.record_answer("a");
+    expect_that!(table.is_empty(), eq(true));
+}
+
 /// Guards against one crash that counts several times, because several requests of one host or several hosts report it.
 #[gtest]
 fn one_crash_counts_once() {
--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -11,6 +11,9 @@
 use camphorspring::relay::plain_relay::{RelayRequest, StreamStart, relay_request};
 use camphorspring::relay::reply::ResponseBody;
 use camphorspring::relay::target_codec::TargetRequest;
+use camphorspring::row_store::StoredRow;
+use camphorspring::row_store::table_watch::WatchEvent;
+use camphorspring::traffic::crash_quarantine::fingerprint_of;
 use googletest::prelude::*;
 use http_body_util::BodyExt;
 use hyper::header::HeaderMap;
@@ -189,6 +192,42 @@
     })
 }
 
+/// Row of another host that says that a target ended under a stream of request `r1` after some events.
+fn crash_row(target: &str) -> StoredRow {
+    let fingerprint = fingerprint_of("c", &[b"", b"POST", b"/plain/x", b""]);
+    let value = format!(
+        r#"{{"fingerprint":"{fingerprint}","target":"{target}","started_ms":1,"at_ms":0,"host":"h2","is_broken":true,
+            "is_confirmed":true,"last_event":2}}"#
+    );
+    StoredRow {
+        table: String::new(),
+        part: String::new(),
+        key: format!("crash/{fingerprint}/{target}"),
+        value: Some(value.into_bytes()),
+        version: 1,
+    }
+}
+
+/// Guards against streams of one question that are refused because targets ended under other streams of it, while this one goes
+/// on for long.
+#[gtest]
+fn stream_that_goes_on_releases_its_request() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: s\r\ncontent-type: text/event-stream\r\n\r\n";
+    let address = serve_pieces(HEAD, |number| format!("id: {number}\ndata: x\n\n"), at(50));
+    let context = context_with_target(address);
+    let are_held = run(async {
+        let mut body = send_stream(&context, &route(RouteKind::Repeatable), 1).await.into_body();
+        context.crashes.apply_event(&WatchEvent::Changed(["e1", "e2", "e3"].map(crash_row).to_vec()), 0, boot_time());
+        let mut are_held = vec![context.crashes.held_requests()];
+        for _ in 0..10 {
+            body.frame().await.expect("the stream goes on").expect("the stream is sound");
+        }
+        are_held.push(context.crashes.held_requests());
+        are_held
+    });
+    expect_that!(are_held, eq(&vec![1, 0]));
+}
+
 /// Guards against a large answer that is cut because its target is silent within the body, although the time of its route goes on,
 /// and against one that is not cut at the end of that time.
 #[gtest]
