Do not count garbled answers as crashes of targets

Callers saw: 429 for a sound request after three targets answered it with bytes that are no answer.

Cause: the connection pool had one error for a connection that breaks and for bytes that are no response, and the first is evidence that the request crashes targets.

Change: ExchangeError::Malformed, which counts as a failure of the target, not against the request or the links.

--- a/src/jobs/grading_run.rs
+++ b/src/jobs/grading_run.rs
@@ -11,7 +11,7 @@
 use crate::jobs::grading_queue::GradingOutcome;
 use crate::jobs::job_record::GradingSpec;
 use crate::prelude::*;
-use crate::relay::connection_pool::{Exchange, ExchangeError, read_body};
+use crate::relay::connection_pool::{Exchange, read_body};
 use crate::relay::target_codec::{SendOptions, TargetRequest};
 use crate::relay::target_relay::{SendRule, send_to_target};
 use crate::relay::target_response::ResponseKind;
@@ -84,7 +84,7 @@
         };
         match send_to_target(&self.context, &self.target, request, SendRule::REPEATED).await {
             Ok(exchange) => self.read_response(exchange).await,
-            Err(ExchangeError::NotConnected | ExchangeError::Broken) => GradingOutcome::Lost,
+            Err(_) => GradingOutcome::Lost,
         }
     }
 
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -15,7 +15,7 @@
 use crate::jobs::item_scheduler::{IdleConnections, PlacementContext, RunOutcome, should_migrate};
 use crate::jobs::job_record::{ItemSpec, JobHeader};
 use crate::prelude::*;
-use crate::relay::connection_pool::{Exchange, ExchangeError, read_body};
+use crate::relay::connection_pool::{Exchange, read_body};
 use crate::relay::event_reader::{EventReader, StreamEvent};
 use crate::relay::target_codec::{SendOptions, TargetRequest};
 use crate::relay::target_relay::{SendRule, record_unreachable, send_to_target};
@@ -182,7 +182,7 @@
         let sent = tokio::time::timeout(head_timeout, sent).await;
         let exchange = match sent {
             Ok(Ok(exchange)) => exchange,
-            Ok(Err(ExchangeError::NotConnected | ExchangeError::Broken)) => return (RunOutcome::Broken, 0),
+            Ok(Err(_)) => return (RunOutcome::Broken, 0),
             Err(_) => return (RunOutcome::Stalled, 0),
         };
         self.read_response(exchange).await
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -39,6 +39,13 @@
     NotConnected,
     /// The connection broke after the request may have been sent, or the response body was cut off or too large.
     Broken,
+    /// The server sent bytes that are no response, after the request may have been sent.
+    Malformed,
+}
+
+/// Error of an exchange on a connection that was open, before the head of the response.
+fn head_error(error: &hyper::Error) -> ExchangeError {
+    if error.is_parse() { ExchangeError::Malformed } else { ExchangeError::Broken }
 }
 
 /// An open connection; dropping it resets the connection.
@@ -151,7 +158,7 @@
     ///
     /// # Errors
     ///
-    /// No connection could be made, or the connection broke before the head of the response arrived.
+    /// No connection could be made, or the connection broke, or carried no response, before the head of one arrived.
     pub async fn send(&self, address: SocketAddr, request: Request<SendBody>) -> Result<Exchange, ExchangeError> {
         let mut request = request;
         while let Some(mut connection) = self.take_idle(address) {
@@ -167,12 +174,12 @@
                 }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(ExchangeError::Broken),
+                    None => return Err(head_error(error.error())),
                 },
             }
         }
         let mut connection = self.connect(address).await?;
-        let response = connection.sender.send_request(request).await.map_err(|_| ExchangeError::Broken)?;
+        let response = connection.sender.send_request(request).await.map_err(|error| head_error(&error))?;
         let response = connection.take_head(response);
         Ok(Exchange { response, connection, is_reused: false })
     }
@@ -183,15 +190,19 @@
     ///
     /// # Errors
     ///
-    /// No connection could be made, the connection broke before the end of the response, its status is none of HTTP, or the
-    /// body is larger than `max_bytes`.
+    /// [`ExchangeError::NotConnected`] if no connection could be made. [`ExchangeError::Broken`] if the connection broke before the
+    /// end of the response, or carried none, or if its status is none of HTTP, or its body is larger than `max_bytes`.
     pub async fn fetch(
         &self,
         address: SocketAddr,
         request: Request<SendBody>,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let Exchange { response, connection, .. } = self.send(address, request).await?;
+        let sent = self.send(address, request).await;
+        let Exchange { response, connection, .. } = sent.map_err(|error| match error {
+            ExchangeError::Malformed => ExchangeError::Broken,
+            error => error,
+        })?;
         let (head, body) = response.into_parts();
         if !is_final_status(head.status) {
             return Err(ExchangeError::Broken);
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -434,7 +434,7 @@
             return AttemptOutcome::NotRun;
         }
         ResponseKind::Invalid => {
-            record_target_failure(context, relay, &target, ExchangeError::Broken);
+            record_target_failure(context, relay, &target, ExchangeError::Malformed);
             return AttemptOutcome::Lost;
         }
     }
--- a/src/relay/request_forward.rs
+++ b/src/relay/request_forward.rs
@@ -76,7 +76,7 @@
     // The sender cannot tell whether the connection to the target was used before.
     let (target_head, kind) = context.read_head(target, &head, &request_id, is_reused);
     if kind == ResponseKind::Invalid {
-        return relay_error(ExchangeError::Broken);
+        return relay_error(ExchangeError::Malformed);
     }
     strip_connection_headers(&mut head.headers);
     let body = ForwardedBody {
--- a/src/relay/target_relay.rs
+++ b/src/relay/target_relay.rs
@@ -118,8 +118,7 @@
 ///
 /// # Errors
 ///
-/// [`ExchangeError::NotConnected`] when neither this host nor a peer sent the request, [`ExchangeError::Broken`] when it may
-/// have arrived.
+/// [`ExchangeError::NotConnected`] when neither this host nor a peer sent the request; after the others it may have arrived.
 pub async fn send_to_target(
     context: &Arc<HostContext>,
     target: &TargetEntry,
@@ -163,7 +162,7 @@
         }
     };
     match &result {
-        Ok(_) => context.links.record_answer(),
+        Ok(_) | Err(ExchangeError::Malformed) => context.links.record_answer(),
         Err(ExchangeError::NotConnected) => record_unreachable(context, target, since, "not_connected"),
         Err(ExchangeError::Broken) => record_unreachable(context, target, since, "broken"),
     }
@@ -209,9 +208,9 @@
         context
             .metrics
             .forwards
-            .with_label_values(&[if outcome == ExchangeError::Broken { "lost" } else { "not_sent" }])
+            .with_label_values(&[if outcome == ExchangeError::NotConnected { "not_sent" } else { "lost" }])
             .inc();
-        if outcome == ExchangeError::Broken {
+        if outcome != ExchangeError::NotConnected {
             return Err(outcome);
         }
         context.links.with(|links| links.record_peer_failure(peer, boot_time()));
--- a/src/row_store/store_relay.rs
+++ b/src/row_store/store_relay.rs
@@ -17,7 +17,7 @@
 use crate::row_store::StoreCallError;
 use crate::row_store::store_router::{PEERS_PER_CALL, RouteOutcome, StoreRoute, StoreRouter};
 
-/// Header of a response in which a host reports that it could not forward a call: `not_sent` or `answer_lost`.
+/// Header of a response in which a host reports that it could not forward a call: `not_sent`, `answer_lost` or `no_answer`.
 pub const RELAY_ERROR_HEADER: &str = "camphorspring-relay-fault";
 
 /// Value of [`RELAY_ERROR_HEADER`] for a call that was not sent to the store.
@@ -26,6 +26,10 @@
 /// Value of [`RELAY_ERROR_HEADER`] for a call that may have taken effect.
 const ANSWER_LOST: &str = "answer_lost";
 
+/// Value of [`RELAY_ERROR_HEADER`] for a request that a target answered with bytes that are no response. Hosts that do not know it
+/// take it for [`ANSWER_LOST`].
+const NO_ANSWER: &str = "no_answer";
+
 /// Timeout of a forwarded call: the wait of a feed call plus the time of a slow answer. Feed calls wait for half a
 /// second with up to 100 hosts, and for at most one second with more hosts.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -142,6 +146,7 @@
     let kind = match error {
         ExchangeError::NotConnected => NOT_SENT,
         ExchangeError::Broken => ANSWER_LOST,
+        ExchangeError::Malformed => NO_ANSWER,
     };
     let mut response = Response::new(whole_body(Bytes::new()));
     *response.status_mut() = StatusCode::BAD_GATEWAY;
@@ -152,6 +157,10 @@
 /// Error that a host reported for a call that it could not forward; `None` when the response comes from the store.
 #[must_use]
 pub fn read_relay_error(headers: &hyper::HeaderMap) -> Option<ExchangeError> {
-    let kind = headers.get(RELAY_ERROR_HEADER)?;
-    Some(if kind == NOT_SENT { ExchangeError::NotConnected } else { ExchangeError::Broken })
+    let kind = headers.get(RELAY_ERROR_HEADER)?.as_bytes();
+    Some(match kind {
+        _ if kind == NOT_SENT.as_bytes() => ExchangeError::NotConnected,
+        _ if kind == NO_ANSWER.as_bytes() => ExchangeError::Malformed,
+        _ => ExchangeError::Broken,
+    })
 }
--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use camphorspring::clock::boot_time;
 use camphorspring::entry::host_context::HostContext;
+use camphorspring::fleet::fleet_view::TargetEntry;
 use camphorspring::fleet::service_map::{RouteKind, RouteRule, WeightedService};
 use camphorspring::relay::plain_relay::{RelayRequest, StreamStart, relay_request};
 use camphorspring::relay::reply::ResponseBody;
@@ -52,9 +53,17 @@
 
 /// State of a host that knows one target.
 pub fn context_with_target(address: SocketAddr) -> Arc<HostContext> {
-    let mut target = engine("p1", 1);
-    target.address = address;
-    let (_, view) = watch::channel(Arc::new(view(vec![target], &["h1"], boot_time())));
+    context_with_targets(&[address])
+}
+
+/// State of a host that knows targets `p1` and so on at these addresses.
+fn context_with_targets(addresses: &[SocketAddr]) -> Arc<HostContext> {
+    let target = |(number, address): (usize, &SocketAddr)| TargetEntry {
+        address: *address,
+        ..engine(&format!("p{}", number + 1), 1)
+    };
+    let targets = addresses.iter().enumerate().map(target).collect();
+    let (_, view) = watch::channel(Arc::new(view(targets, &["h1"], boot_time())));
     context_with_view(view)
 }
 
@@ -192,6 +201,23 @@
     })
 }
 
+/// Guards against a sound request that is held back as if targets crashed under it, because a few of them sent bytes that are no
+/// answer: such a target lives. A connection that ends without an answer still counts.
+#[gtest]
+fn garbled_answers_are_no_crashes() {
+    let held_after = |answer: &str| {
+        let addresses = [(); 3].map(|()| serve_once(answer.to_owned()));
+        let context = context_with_targets(&addresses);
+        let route = RouteRule { attempts: 3, ..route(RouteKind::Repeatable) };
+        let status = run(send(&context, &route, 1)).status().as_u16();
+        (status, context.crashes.held_requests())
+    };
+    expect_that!(held_after("garbage\r\n\r\n"), eq((502, 0)));
+    expect_that!(held_after("HTTP/1.1 000 Trouble\r\nid: r1\r\ncontent-length: 0\r\n\r\n"), eq((502, 0)));
+    expect_that!(held_after("HTTP/1.1 200 OK\r\nid: r1\r\ncontent-length: 0\r\n\r\n"), eq((502, 0)));
+    expect_that!(held_after(""), eq((502, 1)));
+}
+
 /// Row of another host that says that a target ended under a stream of request `r1` after some events.
 fn crash_row(target: &str) -> StoredRow {
     let fingerprint = fingerprint_of("c", &[b"", b"POST", b"/plain/x", b""]);
