Count only failed runs towards abandoning an item

Callers would see: an item abandoned within a second because engines answered its runs with 404, 504 or another error that is no failed run; an item is owed until max_attempts answers of 500, a 422, or the end of its time.

Cause: each error but 422 counted as a failed run.

Change: 500, and a 422 without a signature, count. After any other error the item runs again, with a delay that doubles.

Found by reading; no site has shown it.

--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -148,7 +148,7 @@
             // The stream broke off with the link, and not by a failure of the target.
             RunOutcome::Broken | RunOutcome::Stalled if is_link_cut => {}
             RunOutcome::Broken | RunOutcome::Stalled => loads.record_failure(target, now),
-            RunOutcome::Misdirected | RunOutcome::Failed | RunOutcome::Impossible => {}
+            RunOutcome::Misdirected | RunOutcome::Failed | RunOutcome::Rejected | RunOutcome::Impossible => {}
         });
         if outcome != RunOutcome::Complete {
             log::info!(
@@ -218,7 +218,10 @@
             (ResponseKind::Failure, StatusCode::UNPROCESSABLE_ENTITY) if target_head.stamp.is_some() => {
                 Some(RunOutcome::Impossible)
             }
-            (ResponseKind::Failure, _) => Some(RunOutcome::Failed),
+            (ResponseKind::Failure, StatusCode::INTERNAL_SERVER_ERROR | StatusCode::UNPROCESSABLE_ENTITY) => {
+                Some(RunOutcome::Failed)
+            }
+            (ResponseKind::Failure, _) => Some(RunOutcome::Rejected),
         };
         if let Some(outcome) = error {
             let read = tokio::time::timeout(self.pause_limit, read_body(body, MAX_ERROR_BODY_BYTES)).await;
--- a/src/jobs/item_scheduler.rs
+++ b/src/jobs/item_scheduler.rs
@@ -28,9 +28,12 @@
 /// Delay before an item that a target refused may start again.
 const REFUSED_DELAY: Duration = Duration::from_millis(60);
 
-/// Delay before an item whose run failed may start again.
+/// Delay before an item whose run failed may start again; after a run that was rejected, it doubles each time.
 const FAILED_DELAY: Duration = Duration::from_millis(200);
 
+/// Number of times that the delay after rejected runs doubles.
+const MAX_DELAY_DOUBLINGS: u32 = 4;
+
 /// An item is placed on the engine that has its group's prompt, unless the load of that engine exceeds the lowest load
 /// by more than this many requests.
 const MAX_AFFINITY_EXCESS: u32 = 4;
@@ -66,8 +69,10 @@
     Stalled,
     /// The target is much slower than others that have a free slot; another run resumes the output there.
     Slow,
-    /// The target reported an error; the item may succeed in another run.
+    /// The target failed to run the item, which counts towards abandoning it; another run may succeed.
     Failed,
+    /// The target reported an error that says nothing about the item; another run may succeed.
+    Rejected,
     /// The request cannot be encoded, or the target rejected the item for good; no run can succeed.
     Impossible,
 }
@@ -84,6 +89,7 @@
             Self::Stalled => "stalled",
             Self::Slow => "slow",
             Self::Failed => "failed",
+            Self::Rejected => "rejected",
             Self::Impossible => "impossible",
         }
     }
@@ -110,6 +116,7 @@
     is_short: bool,
     state: ItemState,
     failures: u32,
+    rejections: u32,
     stalls: u32,
     has_run: bool,
     /// Software version that began the output; `None` while the output is empty.
@@ -210,6 +217,7 @@
                 is_short: item.expected_tokens.saturating_mul(SHORT_ITEM_RATIO) <= longest_tokens,
                 state: ItemState::Waiting(BootTime::ZERO),
                 failures: 0,
+                rejections: 0,
                 stalls: 0,
                 has_run: false,
                 software: None,
@@ -379,6 +387,11 @@
                 scheduled_item.bound_since = now;
                 (ItemState::Waiting(now), false)
             }
+            RunOutcome::Rejected => {
+                let delay = FAILED_DELAY.saturating_mul(1 << scheduled_item.rejections.min(MAX_DELAY_DOUBLINGS));
+                scheduled_item.rejections += 1;
+                (ItemState::Waiting(now + delay), false)
+            }
             RunOutcome::Failed => {
                 scheduled_item.failures += 1;
                 let is_last = scheduled_item.failures >= self.max_failures;
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -141,7 +141,7 @@
             RunOutcome::Misdirected => self.misdirected += 1,
             RunOutcome::Broken | RunOutcome::Stalled => self.broken += 1,
             RunOutcome::Slow => self.migrated += 1,
-            RunOutcome::Failed | RunOutcome::Impossible => self.failed += 1,
+            RunOutcome::Failed | RunOutcome::Rejected | RunOutcome::Impossible => self.failed += 1,
         }
     }
 }
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -292,6 +292,9 @@
         response("422 Never", "id: i0\r\n"),
         response("422 Never", "id: i0\r\nstamp: s\r\ncontent-encoding: gzip\r\n"),
         response("500 Failed", "id: i0\r\n"),
+        // Other errors say nothing about the item.
+        response("404 None", "id: i0\r\nstamp: s\r\n"),
+        response("504 Late", "id: i0\r\nstamp: s\r\n"),
         // Only a response that says so is a refusal.
         response("503 Full", "id: i0\r\n"),
         "garbage\r\n\r\n".to_owned(),
@@ -305,6 +308,8 @@
         RunOutcome::Failed,
         RunOutcome::Broken,
         RunOutcome::Failed,
+        RunOutcome::Rejected,
+        RunOutcome::Rejected,
         RunOutcome::Broken,
         RunOutcome::Broken,
     ];
--- a/tests/integration/jobs/plan.rs
+++ b/tests/integration/jobs/plan.rs
@@ -123,6 +123,8 @@
     let mut scheduler = ItemScheduler::new(&spec(1, 1), 3);
     let broken_abandoned: Vec<bool> = (0..9).map(|_| scheduler.record_run_end(0, RunOutcome::Broken, at(0))).collect();
     expect_that!(broken_abandoned.contains(&true), eq(false));
+    let rejected = (0..9).map(|_| scheduler.record_run_end(0, RunOutcome::Rejected, at(0)));
+    expect_that!(rejected.collect::<Vec<_>>(), eq(&[false; 9]));
     expect_that!(scheduler.record_run_end(0, RunOutcome::Impossible, at(0)), eq(true));
 }
 
