--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -232,9 +232,9 @@
         }
         let is_direct = connection.address() == self.target.address;
         let mut version = target_head.version;
+        let is_framed = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
         // The head names no version when no events are left to generate, as when the former run broke off after the
         // last event.
-        let is_framed = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
         if version.is_some() && !self.accept_version(version) {
             return (RunOutcome::Misdirected, 0);
         }
