Test garbled answers with real processes; split the reader of items

A run of the soak, garbled::garbled_answers_reach_no_caller: all targets send one in eight answers without a signature or with the status 600, 777 or 999, and one host reaches the targets through the others for half of the time. Callers check statuses, signatures, texts and scores.

--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -209,23 +209,11 @@
         let Exchange { response, connection, is_reused } = exchange;
         let (head, mut body) = response.into_parts();
         let (target_head, kind) = self.context.read_head(&self.target, &head, &self.item.id, is_reused);
-        let error = match (kind, head.status) {
-            (ResponseKind::Success, StatusCode::OK) => None,
-            (ResponseKind::Success | ResponseKind::Invalid, _) => return (RunOutcome::Broken, 0),
-            (ResponseKind::Misdirection, _) => Some(RunOutcome::Misdirected),
-            (ResponseKind::Refusal, _) => Some(RunOutcome::Refused),
-            // Without a signature, the rejection may come from elsewhere; another target may run the item.
-            (ResponseKind::Failure, StatusCode::UNPROCESSABLE_ENTITY) if target_head.stamp.is_some() => {
-                Some(RunOutcome::Impossible)
-            }
-            (ResponseKind::Failure, StatusCode::INTERNAL_SERVER_ERROR | StatusCode::UNPROCESSABLE_ENTITY) => {
-                Some(RunOutcome::Failed)
-            }
-            (ResponseKind::Failure, _) => Some(RunOutcome::Rejected),
-        };
-        if let Some(outcome) = error {
-            let read = tokio::time::timeout(self.pause_limit, read_body(body, MAX_ERROR_BODY_BYTES)).await;
-            if matches!(read, Ok(Ok(_))) {
+        if let Some(outcome) = outcome_of_head(kind, head.status, target_head.stamp.is_some()) {
+            // The connection of a broken run is not used again.
+            if outcome != RunOutcome::Broken
+                && let Ok(Ok(_)) = tokio::time::timeout(self.pause_limit, read_body(body, MAX_ERROR_BODY_BYTES)).await
+            {
                 self.context.pool.give_back(connection, target_head.idle_limit);
             }
             return (outcome, 0);
@@ -370,3 +358,19 @@
         }
     }
 }
+
+/// Outcome of a run whose response begins with this head; `None` when the output follows.
+fn outcome_of_head(kind: ResponseKind, status: StatusCode, is_signed: bool) -> Option<RunOutcome> {
+    match (kind, status) {
+        (ResponseKind::Success, StatusCode::OK) => None,
+        (ResponseKind::Success | ResponseKind::Invalid, _) => Some(RunOutcome::Broken),
+        (ResponseKind::Misdirection, _) => Some(RunOutcome::Misdirected),
+        (ResponseKind::Refusal, _) => Some(RunOutcome::Refused),
+        // Without a signature, the rejection may come from elsewhere; another target may run the item.
+        (ResponseKind::Failure, StatusCode::UNPROCESSABLE_ENTITY) if is_signed => Some(RunOutcome::Impossible),
+        (ResponseKind::Failure, StatusCode::INTERNAL_SERVER_ERROR | StatusCode::UNPROCESSABLE_ENTITY) => {
+            Some(RunOutcome::Failed)
+        }
+        (ResponseKind::Failure, _) => Some(RunOutcome::Rejected),
+    }
+}
--- a/tests/soak/links.rs
+++ b/tests/soak/links.rs
@@ -29,7 +29,7 @@
 
 /// How the links of a host are cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum LinkFault {
+pub enum LinkFault {
     /// Open connections are reset, new ones are refused.
     Refused,
     /// Open connections live on, new ones are refused.
@@ -38,7 +38,7 @@
     Silent,
 }
 
-fn cut_links(installation: &SoakInstallation, host: usize, fault: LinkFault) {
+pub fn cut_links(installation: &SoakInstallation, host: usize, fault: LinkFault) {
     for link in &installation.hosts[host].target_links {
         match fault {
             LinkFault::Refused => {
@@ -51,7 +51,7 @@
     }
 }
 
-fn restore_links(installation: &SoakInstallation, host: usize) {
+pub fn restore_links(installation: &SoakInstallation, host: usize) {
     for link in &installation.hosts[host].target_links {
         link.order(RelayCommand::Restore);
     }
--- a/tests/soak/load.rs
+++ b/tests/soak/load.rs
@@ -113,6 +113,9 @@
                 response.body, response.is_stamped
             ));
         }
+        if let Some(status) = status.filter(|status| !(200..600).contains(status)) {
+            load.outcome_log.record_violation(format!("{id} got the status {status}"));
+        }
         if let Some(status @ (401 | 403 | 404)) = status {
             load.outcome_log
                 .record_violation(format!("{id} was refused with {status}, but every configuration admits it"));
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod crashing_requests;
 mod fault_plan;
+mod garbled;
 mod installation;
 mod job_reads;
 mod leaving;
