--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -59,7 +59,8 @@
 /// A forwarded event stream may pause for this many times the objective of its route, twice as long as callers wait.
 const STREAM_PAUSE_OBJECTIVES: u32 = 8;
 
-/// Pause after which a forwarded response that is no event stream counts as stalled; it usually ends with its time limit before.
+/// Pause after which a forwarded response that is no event stream counts as stalled. The time limit of the request, if it has one,
+/// ends the response earlier.
 const BODY_PAUSE: Duration = DEFAULT_TIMEOUT;
 
 /// Outcome of one attempt.
@@ -135,11 +136,11 @@
         [self.patience, self.route.timeout].into_iter().flatten().min()
     }
 
-    /// Number of the last event before those of the next response, as in [`CrashReport::last_event`].
+    /// Number of the last event before the response, as in [`CrashReport::last_event`]: unknown for a stream that is taken up.
     ///
     /// [`CrashReport::last_event`]: crate::fleet::crash_table::CrashReport::last_event
     #[must_use]
-    pub fn first_event(&self) -> Option<u64> {
+    pub fn last_event_before(&self) -> Option<u64> {
         match self.stream {
             StreamStart::Continue(_) => None,
             StreamStart::NotResumable | StreamStart::Begin => Some(0),
@@ -411,7 +412,7 @@
         Err(error) => {
             record_target_failure(context, relay, &target, error);
             if error == ExchangeError::Broken {
-                let last_event = relay.first_event();
+                let last_event = relay.last_event_before();
                 report_unanswered(context, relay.fingerprint(), &target, now, UnansweredEnd::Broken, last_event);
             }
             return if error == ExchangeError::NotConnected { AttemptOutcome::NotRun } else { AttemptOutcome::Lost };
@@ -482,7 +483,7 @@
             Some(Ok(frame)) => buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
             Some(Err(_)) => {
                 record_target_failure(context, relay, target, ExchangeError::Broken);
-                let last_event = relay.first_event();
+                let last_event = relay.last_event_before();
                 report_unanswered(context, relay.fingerprint(), target, sent_at, UnansweredEnd::Broken, last_event);
                 return AttemptOutcome::Lost;
             }
@@ -497,7 +498,7 @@
         target: target.clone(),
         sent_at,
         events: is_stream.then(EventReader::new),
-        last_event: relay.first_event(),
+        last_event: relay.last_event_before(),
         pause_limit,
         stalls_at: tokio::time::Instant::now() + pause_limit,
         ends_at: relay
--- a/src/relay/target_response.rs
+++ b/src/relay/target_response.rs
@@ -20,7 +20,7 @@
     Refusal,
     /// The request was meant for another target or another version of the weights, and was not run.
     Misdirection,
-    /// The head does not belong to an answer to the request; the target may have run the request.
+    /// The response is no answer to the request, or claims more than it proves; the target may have run the request.
     Invalid,
 }
 
--- a/src/relay/unanswered_attempt.rs
+++ b/src/relay/unanswered_attempt.rs
@@ -46,7 +46,7 @@
         let is_unanswered = !self.has_ended && !self.is_answered.load(Ordering::Acquire);
         if is_unanswered && boot_time().saturating_sub(self.started_at) >= MIN_UNANSWERED_TIME {
             let fingerprint = self.relay.fingerprint();
-            let (started_at, last_event) = (self.started_at, self.relay.first_event());
+            let (started_at, last_event) = (self.started_at, self.relay.last_event_before());
             report_unanswered(self.context, fingerprint, self.target, started_at, UnansweredEnd::GivenUp, last_event);
         }
     }
--- a/tests/integration/fleet/crashes.rs
+++ b/tests/integration/fleet/crashes.rs
@@ -78,7 +78,7 @@
     expect_that!(table.record_progress("a", 17), eq(true));
     expect_that!(table.check("a", 1_300), eq(CrashVerdict::Free));
     expect_that!(table.is_empty(), eq(true));
-    // Three reports and the trial.
+    // The rows of the reports and the trial.
     expect_that!(table.take_cleared_rows().len(), eq(4));
 
     // A stream that a further crash follows at once has not shown more than the ones before.
