--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -155,7 +155,7 @@
 }
 
 /// Guards against a caller that takes a response for the promise that its request has not run, although its target has not said
-/// so; of such a response, only the caller's next attempt is of use.
+/// so, and against errors that are passed on with another status.
 #[gtest]
 fn error_is_no_promise_without_a_refusal() {
     let status_after = |kind: RouteKind, head: &str| {
