Bound the sum of the bodies that a host receives

What callers saw: many large bodies at once, whole, one byte short of their end or in chunks of one byte, ended a host with all its requests.

Cause: nothing bounded the sum of the bodies. Each frame was kept as an object, a whole body was there twice, and at the address for other hosts a body had no time limit.

Change: one budget of memory a process, half of its machine's. A body takes a lease as it arrives and is kept once, in segments. When the budget is used up, the stalled body that wastes most yields, an eighth is reserved for small bodies, and a body without room gets 503 and was not run. Requests, jobs, forwarded requests and store calls of peers use it. Fingerprints of requests stay as earlier builds form them. A body that is no body gets 400 instead of 413.

--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -15,6 +15,7 @@
 use crate::fleet::target_limit::LimitNotice;
 use crate::fleet::target_load::LoadTable;
 use crate::jobs::job_cache::JobCache;
+use crate::memory::MemoryBudget;
 use crate::policy::limit_share::ShareClock;
 use crate::prelude::*;
 use crate::relay::caller_codec::CallerCodec;
@@ -40,6 +41,8 @@
     pub view: watch::Receiver<Arc<FleetView>>,
     /// Store client of the thread that serves callers; the control thread has one of its own.
     pub store: Arc<RowStore>,
+    /// Memory and connections that callers and other hosts may take.
+    pub memory: Arc<MemoryBudget>,
     /// Open connections to targets, for reuse.
     pub pool: ConnectionPool,
     /// Targets that said in a response that they are about to stop; the control thread takes them out of the view.
--- a/src/entry/host_metrics.rs
+++ b/src/entry/host_metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::{Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 use crate::entry::host_context::HostContext;
+use crate::memory::MemoryMetrics;
 use crate::metrics::render_metrics;
 use crate::prelude::*;
 
@@ -49,6 +50,7 @@
     limited_targets: IntGauge,
     connections_opened: IntGauge,
     requests_on_reused_connections: IntGauge,
+    memory: MemoryMetrics,
 }
 
 fn register<T: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: T) -> T {
@@ -162,6 +164,7 @@
                 &registry,
                 int_gauge("target_connections_reused", "Requests sent on a kept connection so far")?,
             ),
+            memory: MemoryMetrics::new(&registry)?,
             registry,
         })
     }
@@ -187,6 +190,7 @@
         self.limited_targets.set(count_to_gauge(context.with_loads(|loads| loads.limits.limited_targets())));
         self.connections_opened.set(i64::try_from(context.pool.opened()).unwrap_or(i64::MAX));
         self.requests_on_reused_connections.set(i64::try_from(context.pool.reused()).unwrap_or(i64::MAX));
+        self.memory.update(&context.memory);
         render_metrics(&self.registry)
     }
 }
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -25,6 +25,7 @@
 use crate::fleet::target_load::LoadTable;
 use crate::jobs::job_cache::JobCache;
 use crate::jobs::job_ownership::run_job_takeover;
+use crate::memory::MemoryBudget;
 use crate::options::schema_check::ConfigError;
 use crate::prelude::*;
 use crate::relay::caller_codec::CallerCodec;
@@ -103,6 +104,7 @@
         incarnation,
         view,
         store: Arc::new((dependencies.new_store)()),
+        memory: MemoryBudget::for_machine(dependencies.settings.memory_megabytes),
         pool: ConnectionPool::for_targets(),
         leaving_targets: watch::Sender::new(Vec::new()),
         links: LinkTable::default(),
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -56,7 +56,8 @@
         }
     };
     let pool = Arc::new(ConnectionPool::for_targets());
-    let server = Arc::new(PeerServer { context, store_relay: StoreRelay::new(store, router), pool });
+    let store_relay = StoreRelay::new(store, router, Arc::clone(&context.memory));
+    let server = Arc::new(PeerServer { context, store_relay, pool });
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_BACKOFF).await;
--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -10,9 +10,9 @@
 use crate::fleet::service_map::{AdmissionError, RouteKind, RouteRule, ServiceMap};
 use crate::jobs::job_calls::{JobAccess, Submission, end_job, read_item, read_job, submit_job};
 use crate::jobs::job_record::JobSpec;
+use crate::memory::{ReceiveError, linger, receive_body};
 use crate::prelude::*;
 use crate::relay::caller_codec::{CallerAction, CallerHead};
-use crate::relay::connection_pool::read_body;
 use crate::relay::plain_relay::{RelayRequest, StreamStart, relay_request};
 use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::{ResponseBody, code_reply};
@@ -170,15 +170,27 @@
     services: &ServiceMap,
     head: &CallerHead,
     parts: hyper::http::request::Parts,
-    body: BudgetedBody,
+    mut body: BudgetedBody,
     arrived_at: BootTime,
 ) -> Result<Response<ResponseBody>, ResultCode> {
     let route = services.route(&head.host, &head.path).ok_or(ResultCode::NotFound)?;
     let organisation = admit_organisation(services, route.is_open, head)?;
     let body_limit = services.limits.body_bytes;
     let body_timeout = head.deadline.unwrap_or(BODY_READ_TIMEOUT).min(BODY_READ_TIMEOUT);
-    let body = tokio::time::timeout(body_timeout, read_body(body, body_limit)).await;
-    let body = body.map_err(|_| ResultCode::QueueTimeout)?.map_err(|_| ResultCode::TooLarge)?;
+    let received = tokio::time::timeout(body_timeout, receive_body(&context.memory, &mut body, body_limit)).await;
+    let body = match received {
+        Ok(Ok(received)) => received,
+        failed => {
+            linger(&context.memory, body);
+            return match failed {
+                Ok(Err(ReceiveError::TooLarge)) => Err(ResultCode::TooLarge),
+                Ok(Err(ReceiveError::Broken)) => Err(ResultCode::BadRequest),
+                // Not logged for each request, since there may be a crowd of them.
+                Ok(Err(ReceiveError::NoMemory)) => Ok(code_reply(ResultCode::HostBusy, Some(OTHER_HOST_RETRY_DELAY))),
+                Ok(Ok(_)) | Err(_) => Err(ResultCode::QueueTimeout),
+            };
+        }
+    };
     if route.kind == RouteKind::BatchJob {
         if parts.method != Method::POST {
             return Err(ResultCode::BadMethod);
@@ -186,7 +198,7 @@
         if !takes_job_call(context) {
             return Ok(refuse_request(head, ResultCode::NotReady, Some(OTHER_HOST_RETRY_DELAY)));
         }
-        let spec = (context.caller_codec.decode_job)(&body).ok_or(ResultCode::BadRequest)?;
+        let spec = (context.caller_codec.decode_job)(&body.to_vec()).ok_or(ResultCode::BadRequest)?;
         check_gradings(&spec, services, context.caller_codec.decode_item_body)?;
         let job = head.request_id.clone();
         let caller_host = head.host.clone();
--- a/src/jobs/grading_run.rs
+++ b/src/jobs/grading_run.rs
@@ -76,7 +76,7 @@
             headers: HeaderMap::new(),
             request_id: self.grading.id.clone(),
             organisation: None,
-            body,
+            body: body.into(),
         };
         let options = SendOptions { target: &self.target.id, deadline: self.timeout, resume_after: None };
         let Ok(request) = (self.context.target_codec.encode)(&request, &options) else {
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -201,7 +201,7 @@
             headers: (self.context.caller_codec.strip)(&headers),
             request_id: self.item.id.clone(),
             organisation: self.header.organisation.clone(),
-            body: (self.context.caller_codec.decode_item_body)(&self.item.body)?,
+            body: (self.context.caller_codec.decode_item_body)(&self.item.body)?.into(),
         })
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ids;
 pub mod jobs;
 pub mod logs;
+pub mod memory;
 pub mod metrics;
 pub mod operator;
 pub mod options;
--- /dev/null
+++ b/src/memory.rs
@@ -0,0 +1,15 @@
+//! Memory and connections that callers and other hosts may take, summed over all listeners of a process.
+//!
+//! The sum ends a process, so there is one [`MemoryBudget`], and each connection and each body takes a lease from it before
+//! it uses memory. When the budget is used up, whatever wastes most of it yields: a connection without a complete request
+//! or a body without its end, by its bytes times the time since its last progress. A part of the budget is reserved for
+//! small leases, so that large bodies cannot keep ordinary requests out.
+
+pub mod lease_table;
+pub mod memory_budget;
+pub mod memory_metrics;
+pub mod received_body;
+
+pub use memory_budget::{KeptMemory, MemoryBudget, MemoryExhausted, MemoryLease};
+pub use memory_metrics::MemoryMetrics;
+pub use received_body::{ReceiveError, ReceivedBody, SegmentReader, SendBody, linger, receive_body};
--- /dev/null
+++ b/src/memory/lease_table.rs
@@ -0,0 +1,248 @@
+//! Leases of memory and connections, and the decision which one yields to another.
+
+use crate::prelude::*;
+
+/// Id of a lease; a later lease has a higher one.
+pub type LeaseId = u64;
+
+/// Part of the budget that only small leases may use: one divided by this number.
+const RESERVED_SHARE: usize = 8;
+
+/// Size up to which a lease is small, in bytes.
+const SMALL_LEASE_BYTES: usize = 128 * 1024;
+
+/// Bytes that must arrive for a lease to make progress, so that single bytes do not keep it alive.
+const PROGRESS_BYTES: usize = 16 * 1024;
+
+/// Time without progress after which any lease yields.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
+/// Part of the connections that may be ending beyond the limit, whose descriptors are still open: one divided by this number.
+const ENDING_SHARE: usize = 8;
+
+/// What a lease is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseKind {
+    /// Connection, whose memory is free once its holder has ended it.
+    Connection,
+    /// Body, whose memory is free at once when it yields.
+    Body,
+}
+
+#[derive(Debug)]
+struct LeaseRecord {
+    id: LeaseId,
+    kind: LeaseKind,
+    bytes: usize,
+    /// Whether the lease yields to others: what it is for is not complete.
+    is_yielding: bool,
+    has_yielded: bool,
+    progress_at: BootTime,
+    /// Bytes that have arrived since the last progress.
+    progress_bytes: usize,
+}
+
+impl LeaseRecord {
+    /// Memory that the lease wastes, in bytes times milliseconds.
+    fn waste(&self, now: BootTime) -> u128 {
+        self.bytes as u128 * (now.saturating_sub(self.progress_at).as_millis() + 1)
+    }
+}
+
+/// Answer to a lease that asks for memory or for a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseDecision {
+    /// Whether the lease gets what it asked for.
+    pub is_granted: bool,
+    /// Leases that have yielded to it.
+    pub yielded: Vec<LeaseId>,
+}
+
+/// Leases of a budget, and the sums of what they hold.
+#[derive(Debug)]
+pub struct LeaseTable {
+    max_bytes: usize,
+    max_connections: usize,
+    next_id: LeaseId,
+    /// Leases in use, sorted by id.
+    leases: Vec<LeaseRecord>,
+    used: usize,
+    connections: usize,
+    /// Bytes of connections that have yielded and have not ended yet.
+    ending_bytes: usize,
+    ending_connections: usize,
+    /// Bytes that the host needs in any case. They never yield, and only large leases make room for them.
+    kept: usize,
+}
+
+impl LeaseTable {
+    /// Table without leases, for a budget of this many bytes and connections.
+    #[must_use]
+    pub fn new(max_bytes: usize, max_connections: usize) -> Self {
+        Self {
+            max_bytes,
+            max_connections,
+            next_id: 0,
+            leases: Vec::new(),
+            used: 0,
+            connections: 0,
+            ending_bytes: 0,
+            ending_connections: 0,
+            kept: 0,
+        }
+    }
+
+    /// Bytes that are leased.
+    #[must_use]
+    pub fn used(&self) -> usize {
+        self.used
+    }
+
+    /// Connections that are open.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections
+    }
+
+    /// Counts bytes that the host needs in any case.
+    pub fn keep(&mut self, bytes: usize) {
+        self.kept += bytes;
+    }
+
+    /// Ends the count of [`Self::keep`].
+    pub fn release_kept(&mut self, bytes: usize) {
+        self.kept -= bytes;
+    }
+
+    /// Adds a lease without bytes, which yields to others.
+    pub fn add(&mut self, kind: LeaseKind, now: BootTime) -> LeaseId {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.connections += usize::from(kind == LeaseKind::Connection);
+        let lease = LeaseRecord {
+            id,
+            kind,
+            bytes: 0,
+            is_yielding: true,
+            has_yielded: false,
+            progress_at: now,
+            progress_bytes: 0,
+        };
+        self.leases.push(lease);
+        id
+    }
+
+    /// Whether a further connection may be added.
+    pub fn make_room_for_connection(&mut self, now: BootTime) -> LeaseDecision {
+        if self.connections - self.ending_connections < self.max_connections {
+            return LeaseDecision { is_granted: true, yielded: Vec::new() };
+        }
+        let yielded = self.end_idle_connection(now);
+        let has_descriptors = self.connections < self.max_connections + self.max_connections / ENDING_SHARE;
+        LeaseDecision { is_granted: yielded.is_some() && has_descriptors, yielded: yielded.into_iter().collect() }
+    }
+
+    /// Ends the connection that wastes most; `None` when all have requests to answer.
+    pub fn end_idle_connection(&mut self, now: BootTime) -> Option<LeaseId> {
+        let position = self.choose_yielding(LeaseId::MAX, true, Some(LeaseKind::Connection), now)?;
+        Some(self.end_lease(position))
+    }
+
+    /// Adds bytes to a lease, to which others yield if there is no room.
+    pub fn grow(&mut self, id: LeaseId, bytes: usize, now: BootTime) -> LeaseDecision {
+        let mut yielded = Vec::new();
+        loop {
+            let Some(position) = self.position(id) else { return LeaseDecision { is_granted: false, yielded } };
+            let is_small = self.leases[position].bytes + bytes <= SMALL_LEASE_BYTES;
+            let unavailable = if is_small { 0 } else { self.max_bytes / RESERVED_SHARE + self.kept };
+            if self.used - self.ending_bytes + bytes <= self.max_bytes.saturating_sub(unavailable) {
+                self.used += bytes;
+                self.leases[position].bytes += bytes;
+                return LeaseDecision { is_granted: true, yielded };
+            }
+            match self.choose_yielding(id, is_small, None, now) {
+                Some(position) => yielded.push(self.end_lease(position)),
+                None => return LeaseDecision { is_granted: false, yielded },
+            }
+        }
+    }
+
+    /// Takes bytes off a lease.
+    pub fn shrink(&mut self, id: LeaseId, bytes: usize) {
+        if let Some(position) = self.position(id) {
+            let bytes = bytes.min(self.leases[position].bytes);
+            self.leases[position].bytes -= bytes;
+            self.used -= bytes;
+        }
+    }
+
+    /// Records that bytes have arrived for a lease.
+    pub fn record_progress(&mut self, id: LeaseId, bytes: usize, now: BootTime) {
+        let Some(position) = self.position(id) else { return };
+        let lease = &mut self.leases[position];
+        lease.progress_bytes += bytes;
+        if lease.progress_bytes >= PROGRESS_BYTES {
+            lease.progress_bytes = 0;
+            lease.progress_at = now;
+        }
+    }
+
+    /// Sets whether a lease yields to others; returns false when it has yielded already.
+    pub fn set_yielding(&mut self, id: LeaseId, is_yielding: bool, now: BootTime) -> bool {
+        let Some(position) = self.position(id) else { return false };
+        let lease = &mut self.leases[position];
+        lease.is_yielding = is_yielding;
+        lease.progress_at = now;
+        lease.progress_bytes = 0;
+        true
+    }
+
+    /// Removes a lease, whether it has yielded or not.
+    pub fn remove(&mut self, id: LeaseId) {
+        let Ok(position) = self.leases.binary_search_by_key(&id, |lease| lease.id) else { return };
+        let lease = self.leases.remove(position);
+        self.used -= lease.bytes;
+        if lease.kind == LeaseKind::Connection {
+            self.connections -= 1;
+            if lease.has_yielded {
+                self.ending_bytes -= lease.bytes;
+                self.ending_connections -= 1;
+            }
+        }
+    }
+
+    /// Position of a lease that has not yielded.
+    fn position(&self, id: LeaseId) -> Option<usize> {
+        let position = self.leases.binary_search_by_key(&id, |lease| lease.id).ok()?;
+        (!self.leases[position].has_yielded).then_some(position)
+    }
+
+    /// Lease that yields to the lease `id`: the one that wastes most of those that have stalled, or to a small lease also of the
+    /// small ones that have not.
+    fn choose_yielding(&self, id: LeaseId, is_small: bool, kind: Option<LeaseKind>, now: BootTime) -> Option<usize> {
+        let yields = |lease: &LeaseRecord| {
+            let has_stalled = now.saturating_sub(lease.progress_at) >= STALL_TIME;
+            lease.id != id
+                && lease.is_yielding
+                && lease.bytes > 0
+                && kind.is_none_or(|kind| kind == lease.kind)
+                && (has_stalled || (is_small && lease.bytes <= SMALL_LEASE_BYTES))
+        };
+        let candidates = self.leases.iter().enumerate().filter(|(_, lease)| yields(lease));
+        candidates.max_by_key(|(_, lease)| lease.waste(now)).map(|(position, _)| position)
+    }
+
+    fn end_lease(&mut self, position: usize) -> LeaseId {
+        let lease = &mut self.leases[position];
+        lease.is_yielding = false;
+        lease.has_yielded = true;
+        match lease.kind {
+            LeaseKind::Body => self.used -= std::mem::take(&mut lease.bytes),
+            LeaseKind::Connection => {
+                self.ending_bytes += lease.bytes;
+                self.ending_connections += 1;
+            }
+        }
+        lease.id
+    }
+}
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
@@ -18,13 +18,11 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+pub use crate::memory::SendBody;
 use crate::prelude::*;
 use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
 use crate::relay::target_response::is_final_status;
 
-/// Body of a request that is sent through the pool; complete, so that an unsent request can be sent again.
-pub type SendBody = Full<Bytes>;
-
 /// Idle timeout that is assumed for a server that announced none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -32,7 +32,7 @@
 use crate::relay::target_relay::{SendRule, record_unreachable, send_to_target};
 use crate::relay::target_response::ResponseKind;
 use crate::relay::unanswered_attempt::UnansweredAttempt;
-use crate::traffic::crash_quarantine::fingerprint_of;
+use crate::traffic::crash_quarantine::fingerprint_with_body;
 use crate::traffic::quarantine::Fingerprint;
 
 /// Size up to which a response body is read whole before it is forwarded; a larger one is streamed.
@@ -154,7 +154,7 @@
         let caller = request.organisation.as_deref().unwrap_or_default();
         self.fingerprint.get_or_init(|| {
             let fields = [caller, request.method.as_str(), &request.path].map(str::as_bytes);
-            fingerprint_of(&request.host, &[fields[0], fields[1], fields[2], &request.body])
+            fingerprint_with_body(&request.host, &fields, &request.body)
         })
     }
 }
--- a/src/relay/request_forward.rs
+++ b/src/relay/request_forward.rs
@@ -15,8 +15,9 @@
 
 use crate::entry::host_context::HostContext;
 use crate::fleet::fleet_view::TargetState;
+use crate::memory::{linger, receive_body};
 use crate::prelude::*;
-use crate::relay::connection_pool::{ConnectionPool, Exchange, ExchangeError, PooledConnection, SendBody, read_body};
+use crate::relay::connection_pool::{ConnectionPool, Exchange, ExchangeError, PooledConnection, SendBody};
 use crate::relay::plain_relay::strip_connection_headers;
 use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::{BodyError, ResponseBody};
@@ -27,6 +28,9 @@
 /// Most requests of other hosts that a host has in flight; further ones are refused.
 const MAX_FORWARDED: usize = 256;
 
+/// Time within which the body of a request must arrive from another host.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Counts a request of another host as in flight until dropped.
 #[derive(Debug)]
 struct ForwardGuard(Arc<HostContext>);
@@ -54,7 +58,7 @@
 ) -> Response<ResponseBody> {
     let not_sent = || relay_error(ExchangeError::NotConnected);
     let Some(guard) = ForwardGuard::new(context).filter(|_| !context.is_stopping()) else { return not_sent() };
-    let (mut head, body) = request.into_parts();
+    let (mut head, mut body) = request.into_parts();
     let id = head.headers.remove(TARGET_HEADER);
     let request_id = (context.caller_codec.decode)(&head).request_id;
     let view = context.view();
@@ -63,9 +67,13 @@
     let usable = target.filter(|target| target.state == TargetState::Ready && !view.is_closed(&target.domain));
     let Some(target) = usable else { return not_sent() };
     let body_limit = view.services.as_ref().map_or(0, |services| services.limits.body_bytes);
-    let Ok(body) = read_body(body, body_limit).await else { return not_sent() };
+    let received = tokio::time::timeout(BODY_TIMEOUT, receive_body(&context.memory, &mut body, body_limit)).await;
+    let Ok(Ok(received)) = received else {
+        linger(&context.memory, body);
+        return not_sent();
+    };
     strip_connection_headers(&mut head.headers);
-    let request = Request::from_parts(head, SendBody::new(body));
+    let request = Request::from_parts(head, SendBody::from(received));
     let exchange = match send_directly(context, pool, target, request, false).await {
         Ok(exchange) => exchange,
         Err(error) => return relay_error(error),
--- a/src/relay/target_codec.rs
+++ b/src/relay/target_codec.rs
@@ -1,9 +1,9 @@
 //! Requests to targets and heads of their responses, and the functions that translate the wire format.
 
-use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, http};
 
+use crate::memory::ReceivedBody;
 use crate::prelude::*;
 use crate::relay::connection_pool::SendBody;
 
@@ -23,7 +23,7 @@
     /// Organisation that is charged for the request; `None` on routes without keys.
     pub organisation: Option<OrganisationId>,
     /// Complete body; empty when the request has none.
-    pub body: Bytes,
+    pub body: ReceivedBody,
 }
 
 /// Parameters of one attempt of a request.
--- a/src/row_store/store_relay.rs
+++ b/src/row_store/store_relay.rs
@@ -10,8 +10,9 @@
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode};
 
+use crate::memory::{MemoryBudget, linger, receive_body};
 use crate::prelude::*;
-use crate::relay::connection_pool::{ConnectionPool, ExchangeError, SendBody, read_body};
+use crate::relay::connection_pool::{ConnectionPool, ExchangeError, SendBody};
 use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::{ResponseBody, whole_body};
 use crate::row_store::StoreCallError;
@@ -103,13 +104,14 @@
     store: SocketAddr,
     router: SharedStoreRouter,
     pool: ConnectionPool,
+    memory: Arc<MemoryBudget>,
 }
 
 impl StoreRelay {
     /// Creates a relay to `store` with a connection pool of its own, for use on the calling thread.
     #[must_use]
-    pub fn new(store: SocketAddr, router: SharedStoreRouter) -> Self {
-        Self { store, router, pool: ConnectionPool::new() }
+    pub fn new(store: SocketAddr, router: SharedStoreRouter, memory: Arc<MemoryBudget>) -> Self {
+        Self { store, router, pool: ConnectionPool::new(), memory }
     }
 
     /// Forwards one call; a call that cannot be forwarded gets a response with [`RELAY_ERROR_HEADER`].
@@ -117,13 +119,19 @@
         if with_store_router(&self.router, |router| router.has_direct_route_failed()) {
             return relay_error(ExchangeError::NotConnected);
         }
-        let (head, body) = request.into_parts();
-        let Ok(body) = read_body(body, MAX_BODY_BYTES).await else { return relay_error(ExchangeError::NotConnected) };
+        let (head, mut body) = request.into_parts();
+        let received = receive_body(&self.memory, &mut body, MAX_BODY_BYTES);
+        let Ok(Ok(received)) = tokio::time::timeout(CALL_TIMEOUT, received).await else {
+            linger(&self.memory, body);
+            return relay_error(ExchangeError::NotConnected);
+        };
         let mut builder = Request::builder().method(head.method).uri(head.uri).header("host", self.store.to_string());
-        if !body.is_empty() {
+        if !received.is_empty() {
             builder = builder.header("content-type", "application/json");
         }
-        let Ok(request) = builder.body(SendBody::new(body)) else { return relay_error(ExchangeError::NotConnected) };
+        let Ok(request) = builder.body(SendBody::from(received)) else {
+            return relay_error(ExchangeError::NotConnected);
+        };
         let response = tokio::time::timeout(CALL_TIMEOUT, self.exchange(request)).await;
         response.unwrap_or_else(|_| relay_error(ExchangeError::Broken))
     }
--- a/src/traffic/crash_quarantine.rs
+++ b/src/traffic/crash_quarantine.rs
@@ -8,6 +8,7 @@
 use crate::control::HostIdentity;
 use crate::control::control_view::MemberState;
 use crate::generated::peer_messages::{CrashNotice, PeerFrame, QuarantineNotice};
+use crate::memory::ReceivedBody;
 use crate::peer::FrameSender;
 use crate::peer::frame_codec::format_hex;
 use crate::prelude::*;
@@ -38,14 +39,27 @@
 /// its length.
 #[must_use]
 pub fn fingerprint_of(service: &str, fields: &[&[u8]]) -> Fingerprint {
+    format_hex(&digest_fields(service, fields).finalize())
+}
+
+/// Like [`fingerprint_of`], with a body as the last field.
+#[must_use]
+pub fn fingerprint_with_body(service: &str, fields: &[&[u8]], body: &ReceivedBody) -> Fingerprint {
+    let mut digest = digest_fields(service, fields);
+    digest.update((body.len() as u64).to_be_bytes());
+    for segment in body.segments() {
+        digest.update(segment);
+    }
+    format_hex(&digest.finalize())
+}
+
+fn digest_fields(service: &str, fields: &[&[u8]]) -> Sha256 {
     let mut digest = Sha256::new();
-    digest.update((service.len() as u64).to_be_bytes());
-    digest.update(service.as_bytes());
-    for field in fields {
+    for field in std::iter::once(&service.as_bytes()).chain(fields) {
         digest.update((field.len() as u64).to_be_bytes());
         digest.update(field);
     }
-    format_hex(&digest.finalize())
+    digest
 }
 
 impl CrashQuarantine {
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -91,6 +91,7 @@
         incarnation: 1,
         view,
         store: Arc::new(memory_store()),
+        memory: camphorspring::memory::MemoryBudget::new(1 << 24, 64),
         pool: ConnectionPool::new(),
         loads: Mutex::new(LoadTable::new()),
         board: JobCache::new(),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -17,6 +17,7 @@
 mod http_bounds;
 mod jobs;
 mod log_bounds;
+mod memory;
 mod memory_store;
 mod odd_entries;
 mod operator;
--- /dev/null
+++ b/tests/integration/memory.rs
@@ -0,0 +1,4 @@
+//! Budget of memory and connections, and bodies that are received into it.
+
+mod bodies;
+mod leases;
--- /dev/null
+++ b/tests/integration/memory/leases.rs
@@ -0,0 +1,90 @@
+//! Which lease yields to another one when a budget is used up.
+
+use camphorspring::memory::lease_table::{LeaseKind, LeaseTable};
+use googletest::prelude::*;
+
+use crate::fleet::builders::at;
+
+const KIB: usize = 1024;
+
+/// Table of 1 MiB and four connections, of which large leases may use seven eighths.
+fn table() -> LeaseTable {
+    LeaseTable::new(1024 * KIB, 4)
+}
+
+/// Guards against large bodies that keep ordinary requests out: a part of the budget is for small leases.
+#[gtest]
+fn large_leases_leave_room_for_small_ones() {
+    let mut table = table();
+    let (large, other, small) =
+        (table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)));
+    expect_that!(table.grow(large, 896 * KIB, at(0)).is_granted, eq(true));
+    expect_that!(table.grow(other, 129 * KIB, at(0)).is_granted, eq(false));
+    expect_that!(table.grow(small, 128 * KIB, at(0)).is_granted, eq(true));
+    expect_that!(table.used(), eq(1024 * KIB));
+}
+
+/// Guards against bodies that stop short of their end and keep the rest out, and against a body that is cut while it
+/// arrives.
+#[gtest]
+fn stalled_leases_yield_and_others_do_not() {
+    let mut table = table();
+    let (first, second, third) =
+        (table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)));
+    table.grow(first, 400 * KIB, at(0));
+    table.grow(second, 400 * KIB, at(0));
+    expect_that!(table.grow(third, 400 * KIB, at(900)).is_granted, eq(false));
+    table.record_progress(first, 16 * KIB, at(900));
+    let decision = table.grow(third, 400 * KIB, at(1_000));
+    expect_that!((decision.is_granted, decision.yielded), eq(&(true, vec![second])));
+    expect_that!(table.set_yielding(second, false, at(1_000)), eq(false), "a lease that has yielded does not settle");
+    expect_that!(table.grow(second, 1, at(1_000)).is_granted, eq(false));
+}
+
+/// Guards against a body that holds its memory by single bytes.
+#[gtest]
+fn single_bytes_are_no_progress() {
+    let mut table = table();
+    let (slow, next) = (table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)));
+    table.grow(slow, 800 * KIB, at(0));
+    for time in 1..=1_000 {
+        table.record_progress(slow, 1, at(time));
+    }
+    expect_that!(table.grow(next, 800 * KIB, at(1_000)).yielded, eq(&vec![slow]));
+}
+
+/// Guards against complete requests that are ended, and against memory of jobs that keeps small requests out.
+#[gtest]
+fn settled_leases_and_kept_memory_do_not_yield() {
+    let mut table = table();
+    let (settled, large, small) =
+        (table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)));
+    table.grow(settled, 600 * KIB, at(0));
+    table.set_yielding(settled, false, at(0));
+    table.keep(200 * KIB);
+    expect_that!(table.grow(large, 200 * KIB, at(60_000)).is_granted, eq(false));
+    expect_that!(table.grow(small, 100 * KIB, at(60_000)).is_granted, eq(true));
+    table.release_kept(200 * KIB);
+    expect_that!(table.grow(large, 200 * KIB, at(60_000)).is_granted, eq(true));
+}
+
+/// Guards against a limit of connections that keeps newcomers out, and against the end of a connection that has a request
+/// to answer.
+#[gtest]
+fn idle_connections_yield_to_new_ones() {
+    let mut table = table();
+    let mut ids = Vec::new();
+    for time in 0..4 {
+        expect_that!(table.make_room_for_connection(at(time)).is_granted, eq(true));
+        let id = table.add(LeaseKind::Connection, at(time));
+        table.grow(id, 16 * KIB, at(time));
+        ids.push(id);
+    }
+    table.set_yielding(ids[0], false, at(4));
+    let decision = table.make_room_for_connection(at(5));
+    expect_that!(decision.yielded, eq(&vec![ids[1]]), "the one that has been idle longest");
+    expect_that!(decision.is_granted, eq(false), "its descriptor is still open");
+    table.remove(ids[1]);
+    expect_that!(table.make_room_for_connection(at(6)).is_granted, eq(true));
+    expect_that!((table.connections(), table.used()), eq((3, 48 * KIB)));
+}
--- a/tests/integration/relay/answers.rs
+++ b/tests/integration/relay/answers.rs
@@ -96,7 +96,7 @@
         headers: HeaderMap::new(),
         request_id: format!("r{number}"),
         organisation: None,
-        body: Bytes::new(),
+        body: Bytes::new().into(),
     };
     let relay = RelayRequest {
         request,
--- a/tests/integration/relay/streams.rs
+++ b/tests/integration/relay/streams.rs
@@ -100,7 +100,7 @@
         headers: HeaderMap::new(),
         request_id: "r1".to_owned(),
         organisation: None,
-        body: Bytes::new(),
+        body: Bytes::new().into(),
     };
     let relay = RelayRequest {
         request,
