Let connections without a request yield to new ones

What callers saw: clients that connected and sent nothing, or half a head, used all descriptors; no connection was accepted any more, at no address, and none could be opened to targets. 5,000 half-sent heads took 25 KB each.

Cause: connections were bounded by the system only, and those for metrics and readiness had no timeout.

Change: connections of callers, peers and readers of the status take a lease from the memory budget of the process, also for the bytes of a head without its end, and may use three quarters of its descriptors. One without a complete request yields to a new one. A failed accept ends an idle connection, and logs at most one line a second; so does bytes_without_end of accepted connections.

--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -183,12 +183,12 @@
         let is_ready = is_ready(&ready_context);
         (if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, Vec::new())
     };
-    tokio::spawn(serve_status(readiness_address, Arc::new(answer_readiness_check)));
+    tokio::spawn(serve_status(readiness_address, Arc::clone(&context.memory), Arc::new(answer_readiness_check)));
     if let Some(address) = &context.settings.metrics_address {
         let address = parse_address(address)?;
         let metrics_context = Arc::clone(&context);
         let answer_metrics_read = move || (StatusCode::OK, metrics_context.metrics.render(&metrics_context));
-        tokio::spawn(serve_status(address, Arc::new(answer_metrics_read)));
+        tokio::spawn(serve_status(address, Arc::clone(&context.memory), Arc::new(answer_metrics_read)));
     }
     let (phase_sender, phase_receiver) = watch::channel(ServerPhase::Serving);
     let handler_context = Arc::clone(&context);
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 
 use crate::entry::host_context::HostContext;
+use crate::memory::{LeasedBody, accept_connection};
 use crate::prelude::*;
 use crate::relay::connection_pool::ConnectionPool;
 use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
@@ -22,9 +23,6 @@
 /// Time after which a connection of a peer without a call is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Wait after a failed accept, for example when file descriptors have run out.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-
 /// What the connections of all peers use.
 #[derive(Debug)]
 struct PeerServer {
@@ -59,20 +57,25 @@
     let store_relay = StoreRelay::new(store, router, Arc::clone(&context.memory));
     let server = Arc::new(PeerServer { context, store_relay, pool });
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_BACKOFF).await;
-            continue;
-        };
+        let (stream, lease) = accept_connection(&listener, &server.context.memory).await;
         let _ = stream.set_nodelay(true);
         let server = Arc::clone(&server);
         tokio::spawn(async move {
-            let budget = ReadBudget::default();
+            let budget = ReadBudget::default().with_lease(Arc::clone(&lease));
             let stream = BudgetedStream::new(stream, budget.clone());
+            let service_lease = Arc::clone(&lease);
             let service = service_fn(move |request: Request<Incoming>| {
-                let server = Arc::clone(&server);
+                let (server, lease) = (Arc::clone(&server), Arc::clone(&service_lease));
                 budget.renew();
-                let request = request.map(|body| BudgetedBody::new(body, budget.clone()));
-                async move { Ok::<_, Infallible>(server.answer(request).await) }
+                if request.body().is_end_stream() {
+                    lease.settle();
+                }
+                let mut request = request.map(|body| BudgetedBody::new(body, budget.clone()));
+                request.extensions_mut().insert(Arc::clone(&lease));
+                async move {
+                    let response = server.answer(request).await;
+                    Ok::<_, Infallible>(response.map(|body| LeasedBody::new(body, lease)))
+                }
             });
             let mut builder = http1::Builder::new();
             builder
@@ -81,7 +84,10 @@
                 .half_close(false)
                 .max_buf_size(MAX_PART_BYTES);
             // Peers may close these connections at any time, so errors are ignored.
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            tokio::select! {
+                _ = builder.serve_connection(TokioIo::new(stream), service) => {}
+                () = lease.wait_yielded() => {}
+            }
         });
     }
 }
--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -10,7 +10,7 @@
 use crate::fleet::service_map::{AdmissionError, RouteKind, RouteRule, ServiceMap};
 use crate::jobs::job_calls::{JobAccess, Submission, end_job, read_item, read_job, submit_job};
 use crate::jobs::job_record::JobSpec;
-use crate::memory::{ReceiveError, linger, receive_body};
+use crate::memory::{ConnectionLease, ReceiveError, linger, receive_body};
 use crate::prelude::*;
 use crate::relay::caller_codec::{CallerAction, CallerHead};
 use crate::relay::plain_relay::{RelayRequest, StreamStart, relay_request};
@@ -179,7 +179,12 @@
     let body_timeout = head.deadline.unwrap_or(BODY_READ_TIMEOUT).min(BODY_READ_TIMEOUT);
     let received = tokio::time::timeout(body_timeout, receive_body(&context.memory, &mut body, body_limit)).await;
     let body = match received {
-        Ok(Ok(received)) => received,
+        Ok(Ok(received)) => {
+            if let Some(connection) = parts.extensions.get::<Arc<ConnectionLease>>() {
+                connection.settle();
+            }
+            received
+        }
         failed => {
             linger(&context.memory, body);
             return match failed {
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -5,11 +5,13 @@
 //! or a body without its end, by its bytes times the time since its last progress. A part of the budget is reserved for
 //! small leases, so that large bodies cannot keep ordinary requests out.
 
+pub mod connection_lease;
 pub mod lease_table;
 pub mod memory_budget;
 pub mod memory_metrics;
 pub mod received_body;
 
+pub use connection_lease::{ConnectionLease, LeasedBody, accept_connection};
 pub use memory_budget::{KeptMemory, MemoryBudget, MemoryExhausted, MemoryLease};
 pub use memory_metrics::MemoryMetrics;
 pub use received_body::{ReceiveError, ReceivedBody, SegmentReader, SendBody, linger, receive_body};
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -9,7 +9,7 @@
 use std::sync::OnceLock;
 use std::sync::atomic::Ordering;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,12 +19,16 @@
 use tokio::sync::watch;
 
 use crate::entry::host_context::HostContext;
+use crate::memory::{ConnectionLease, LeasedBody, MemoryBudget, accept_connection};
 use crate::prelude::*;
 use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
 use crate::relay::reply::{ResponseBody, text_reply};
 
-/// Wait after a failed accept, for example when file descriptors have run out.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// Limit of a request head before a configuration is known, in bytes.
+const DEFAULT_HEAD_BYTES: usize = HEADER_LIMIT;
+
+/// Time within which a request for the status must arrive on a connection.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Idle timeout of connections that are accepted before a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -55,20 +59,12 @@
     mut phase: watch::Receiver<ServerPhase>,
 ) {
     loop {
-        let accepted = tokio::select! {
+        let connection = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
+            connection = accept_connection(&listener, &context.memory) => connection,
             _ = phase.wait_for(|phase| *phase == ServerPhase::Refusing) => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(Arc::clone(&context), stream, Arc::clone(&handler), phase.clone()));
-            }
-            Err(error) => {
-                log::warn!(error = error.to_string(); "accept_failed");
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
-            }
-        }
+        tokio::spawn(serve_connection(Arc::clone(&context), connection, Arc::clone(&handler), phase.clone()));
     }
 }
 
@@ -92,7 +88,7 @@
 
 async fn serve_connection(
     context: Arc<HostContext>,
-    stream: TcpStream,
+    (stream, lease): (TcpStream, Arc<ConnectionLease>),
     handler: CallerHandler,
     mut phase: watch::Receiver<ServerPhase>,
 ) {
@@ -103,15 +99,22 @@
     let limits = context.view().services.as_ref().map(|services| services.limits);
     let idle_time = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time);
     let max_part_bytes = limits.map_or(MAX_PART_BYTES, |limits| limits.head_bytes.max(MAX_PART_BYTES));
-    let budget = ReadBudget::for_parts(max_part_bytes);
+    let budget = ReadBudget::for_parts(max_part_bytes).with_lease(Arc::clone(&lease));
     let stream = BudgetedStream::new(stream, budget.clone());
+    let service_lease = Arc::clone(&lease);
     let service = service_fn(move |request: Request<Incoming>| {
         busy.get_or_init(|| BusyConnection::new(&context));
         budget.renew();
-        let response = handler(request.map(|body| BudgetedBody::new(body, budget.clone())));
+        let lease = Arc::clone(&service_lease);
+        if request.body().is_end_stream() {
+            lease.settle();
+        }
+        let mut request = request.map(|body| BudgetedBody::new(body, budget.clone()));
+        request.extensions_mut().insert(Arc::clone(&lease));
+        let response = handler(request);
         let context = Arc::clone(&context);
         async move {
-            let mut response = response.await;
+            let mut response = response.await.map(|body| LeasedBody::new(body, lease));
             if context.is_stopping() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -131,6 +134,7 @@
         tokio::select! {
             // A disconnect needs no log line; dropping the connection cancels the caller's request.
             _ = connection.as_mut() => return,
+            () = lease.wait_yielded() => return,
             _ = phase.wait_for(|phase| *phase >= ServerPhase::Closing), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -145,7 +149,7 @@
 /// Answers every request at an address with the result of `handler`, until the process ends.
 ///
 /// Logs an error and returns if the address cannot be bound.
-pub async fn serve_status(address: SocketAddr, handler: StatusHandler) {
+pub async fn serve_status(address: SocketAddr, memory: Arc<MemoryBudget>, handler: StatusHandler) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -154,19 +158,23 @@
         }
     };
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_BACKOFF).await;
-            continue;
-        };
+        let (stream, lease) = accept_connection(&listener, &memory).await;
         let handler = Arc::clone(&handler);
         tokio::spawn(async move {
+            let budget = ReadBudget::default().with_lease(Arc::clone(&lease));
+            let stream = BudgetedStream::new(stream, budget.clone());
             let service = service_fn(move |_: Request<Incoming>| {
+                budget.renew();
                 let (status, body) = handler();
                 async move { Ok::<_, Infallible>(text_reply(status, bytes::Bytes::from(body))) }
             });
-            let builder = http1::Builder::new();
+            let mut builder = http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(STATUS_TIMEOUT).max_buf_size(DEFAULT_HEAD_BYTES);
             // Clients may close these connections at any time, so errors are ignored.
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            tokio::select! {
+                _ = builder.serve_connection(TokioIo::new(stream), service) => {}
+                () = lease.wait_yielded() => {}
+            }
         });
     }
 }
--- a/src/relay/read_budget.rs
+++ b/src/relay/read_budget.rs
@@ -15,6 +15,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::memory::{ConnectionLease, MemoryExhausted};
 use crate::prelude::*;
 
 /// Largest head of a message, and largest part of a body that is read at once, in bytes.
@@ -29,6 +30,8 @@
     /// Size of the whole budget.
     bytes: usize,
     left: Arc<AtomicUsize>,
+    /// Lease of a connection that was accepted; `None` for one that this host has opened.
+    lease: Option<Arc<ConnectionLease>>,
 }
 
 impl Default for ReadBudget {
@@ -42,12 +45,21 @@
     #[must_use]
     pub fn for_parts(part_bytes: usize) -> Self {
         let bytes = part_bytes.saturating_mul(BUDGET_PARTS);
-        Self { bytes, left: Arc::new(AtomicUsize::new(bytes)) }
+        Self { bytes, left: Arc::new(AtomicUsize::new(bytes)), lease: None }
+    }
+
+    /// Adds the lease of a connection that was accepted, which counts the bytes too.
+    #[must_use]
+    pub fn with_lease(self, lease: Arc<ConnectionLease>) -> Self {
+        Self { lease: Some(lease), ..self }
     }
 
     /// Restores the whole budget, since the program took a part of a message.
     pub fn renew(&self) {
         self.left.store(self.bytes, Ordering::Relaxed);
+        if let Some(lease) = &self.lease {
+            lease.record_part();
+        }
     }
 
     /// Takes bytes out of the budget; returns false when it does not have as many.
@@ -83,10 +95,17 @@
     ) -> Poll<std::io::Result<()>> {
         let length = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if self.budget.spend(buffer.filled().len() - length) {
+        let bytes = buffer.filled().len() - length;
+        let leased = self.budget.lease.as_ref().map(|lease| lease.record_read(bytes));
+        if leased == Some(Err(MemoryExhausted)) {
+            return Poll::Ready(Err(std::io::ErrorKind::OutOfMemory.into()));
+        }
+        if self.budget.spend(bytes) {
             return Poll::Ready(Ok(()));
         }
-        log::warn!(peer:? = self.peer, budget = self.budget.bytes; "bytes_without_end");
+        if self.budget.lease.as_ref().is_none_or(|lease| lease.may_log()) {
+            log::warn!(peer:? = self.peer, budget = self.budget.bytes; "bytes_without_end");
+        }
         Poll::Ready(Err(std::io::Error::new(
             std::io::ErrorKind::InvalidData,
             "too many bytes without a part of a message",
--- a/src/relay/request_forward.rs
+++ b/src/relay/request_forward.rs
@@ -15,7 +15,7 @@
 
 use crate::entry::host_context::HostContext;
 use crate::fleet::fleet_view::TargetState;
-use crate::memory::{linger, receive_body};
+use crate::memory::{ConnectionLease, linger, receive_body};
 use crate::prelude::*;
 use crate::relay::connection_pool::{ConnectionPool, Exchange, ExchangeError, PooledConnection, SendBody};
 use crate::relay::plain_relay::strip_connection_headers;
@@ -72,6 +72,9 @@
         linger(&context.memory, body);
         return not_sent();
     };
+    if let Some(connection) = head.extensions.remove::<Arc<ConnectionLease>>() {
+        connection.settle();
+    }
     strip_connection_headers(&mut head.headers);
     let request = Request::from_parts(head, SendBody::from(received));
     let exchange = match send_directly(context, pool, target, request, false).await {
--- a/src/row_store/store_relay.rs
+++ b/src/row_store/store_relay.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode};
 
-use crate::memory::{MemoryBudget, linger, receive_body};
+use crate::memory::{ConnectionLease, MemoryBudget, linger, receive_body};
 use crate::prelude::*;
 use crate::relay::connection_pool::{ConnectionPool, ExchangeError, SendBody};
 use crate::relay::read_budget::BudgetedBody;
@@ -125,6 +125,9 @@
             linger(&self.memory, body);
             return relay_error(ExchangeError::NotConnected);
         };
+        if let Some(connection) = head.extensions.get::<Arc<ConnectionLease>>() {
+            connection.settle();
+        }
         let mut builder = Request::builder().method(head.method).uri(head.uri).header("host", self.store.to_string());
         if !received.is_empty() {
             builder = builder.header("content-type", "application/json");
