Refuse heads over the configured limit

What callers saw: a head of 31 KB was served where 16 KB are allowed, and 5,000 of them were kept.

Cause: the read buffer of the HTTP library stood for the limit, and was at least 32 KB.

Change: the buffer follows the limit, and a head whose fields exceed it gets 431 with result code 1005.

Measured: crowds whole_requests::requests_over_the_limits_are_refused failed before and holds.

--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -22,11 +22,17 @@
 use crate::memory::{ConnectionLease, LeasedBody, MemoryBudget, accept_connection};
 use crate::prelude::*;
 use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
-use crate::relay::reply::{ResponseBody, text_reply};
+use crate::relay::reply::{ResponseBody, code_reply, text_reply};
 
 /// Limit of a request head before a configuration is known, in bytes.
 const DEFAULT_HEAD_BYTES: usize = HEADER_LIMIT;
 
+/// Most bytes of a request line, which the limit of a head does not count.
+const MAX_REQUEST_LINE_BYTES: usize = 8 * 1024;
+
+/// Bytes of a header field beside its name and its value: a colon, a space and the end of the line.
+const FIELD_OVERHEAD_BYTES: usize = 4;
+
 /// Time within which a request for the status must arrive on a connection.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -98,8 +104,9 @@
     let busy = OnceLock::new();
     let limits = context.view().services.as_ref().map(|services| services.limits);
     let idle_time = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time);
-    let max_part_bytes = limits.map_or(MAX_PART_BYTES, |limits| limits.head_bytes.max(MAX_PART_BYTES));
-    let budget = ReadBudget::for_parts(max_part_bytes).with_lease(Arc::clone(&lease));
+    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
+    let max_part_bytes = head_bytes.saturating_add(MAX_REQUEST_LINE_BYTES);
+    let budget = ReadBudget::for_parts(max_part_bytes.max(MAX_PART_BYTES)).with_lease(Arc::clone(&lease));
     let stream = BudgetedStream::new(stream, budget.clone());
     let service_lease = Arc::clone(&lease);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -109,12 +116,20 @@
         if request.body().is_end_stream() {
             lease.settle();
         }
+        let is_head_too_large = head_size(&request) > head_bytes;
         let mut request = request.map(|body| BudgetedBody::new(body, budget.clone()));
         request.extensions_mut().insert(Arc::clone(&lease));
-        let response = handler(request);
+        let response = (!is_head_too_large).then(|| handler(request));
         let context = Arc::clone(&context);
         async move {
-            let mut response = response.await.map(|body| LeasedBody::new(body, lease));
+            let response = match response {
+                Some(response) => response.await,
+                None => code_reply(ResultCode::HeadTooLarge, None),
+            };
+            let mut response = response.map(|body| LeasedBody::new(body, lease));
+            if is_head_too_large {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             if context.is_stopping() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -143,6 +158,12 @@
     }
 }
 
+/// Size of the header fields of a request, in bytes as sent.
+fn head_size<B>(request: &Request<B>) -> usize {
+    let fields = request.headers().iter();
+    fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_OVERHEAD_BYTES).sum()
+}
+
 /// Function that returns the status and body of a readiness check or a read of the metrics.
 pub type StatusHandler = Arc<dyn Fn() -> (StatusCode, Vec<u8>) + Send + Sync>;
 
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -37,6 +37,8 @@
     BadRequest,
     /// The head or the body of the request is too large, or a step has too many groups or shards.
     TooLarge,
+    /// The head of the request is larger than its limit.
+    HeadTooLarge,
     /// The route, model, step, request or other thing that the request or command names does not exist.
     NotFound,
     /// The method is not allowed on this path.
@@ -115,12 +117,13 @@
 }
 
 /// All result codes in ascending order of their numbers; [`ResultCode::from_number`] depends on the order.
-pub const ALL_CODES: [ResultCode; 40] = [
+pub const ALL_CODES: [ResultCode; 41] = [
     ResultCode::Done,
     ResultCode::BadRequest,
     ResultCode::TooLarge,
     ResultCode::NotFound,
     ResultCode::BadMethod,
+    ResultCode::HeadTooLarge,
     ResultCode::KeyMissing,
     ResultCode::KeyUnknown,
     ResultCode::KeyWithdrawn,
@@ -196,6 +199,7 @@
             Self::Done => new_entry(0, "done", 200, 0, Ran, "done"),
             Self::BadRequest => new_entry(1001, "bad_request", 400, 10, NotRun, "the request is malformed"),
             Self::TooLarge => new_entry(1002, "too_large", 413, 10, NotRun, "the request is too large"),
+            Self::HeadTooLarge => new_entry(1005, "head_too_large", 431, 10, NotRun, "the head of the request is too large"),
             Self::NotFound => new_entry(1003, "not_found", 404, 11, NotRun, "no such route, model, step or request"),
             Self::BadMethod => new_entry(1004, "bad_method", 405, 10, NotRun, "the method is not allowed on this path"),
             Self::KeyMissing => new_entry(1100, "key_missing", 401, 12, NotRun, "the request needs a key"),
