Keep a job in memory once, and count the jobs that a host runs

Cause: a submitted job was there as frames, buffer, specification, encoding and rows at once, and was read back in three forms. Nothing bounded the sum of the jobs that a host runs.

Change: items are encoded into rows while the request is decoded, which is dropped on the way. The header says what a job needs to run, and its owner takes that from the memory budget before it reads the job.

Changed tests: store_job takes an encoded job and check_gradings takes items; the checks are the same.

--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -9,8 +9,9 @@
 use crate::fleet::fleet_view::FleetView;
 use crate::fleet::service_map::{AdmissionError, RouteKind, RouteRule, ServiceMap};
 use crate::jobs::job_calls::{JobAccess, Submission, end_job, read_item, read_job, submit_job};
-use crate::jobs::job_record::JobSpec;
-use crate::memory::{ConnectionLease, ReceiveError, linger, receive_body};
+use crate::jobs::job_encoder::{EncodedJob, JobEncoder};
+use crate::jobs::job_record::ItemSpec;
+use crate::memory::{ConnectionLease, ReceiveError, ReceivedBody, linger, receive_body};
 use crate::prelude::*;
 use crate::relay::caller_codec::{CallerAction, CallerHead};
 use crate::relay::plain_relay::{RelayRequest, StreamStart, relay_request};
@@ -147,24 +148,35 @@
     Ok(organisation.map(|rule| rule.name.clone()))
 }
 
-/// Checks that the grading requests of a job can be sent.
+/// Checks that the grading requests of items can be sent.
 ///
 /// # Errors
 ///
 /// The body of a grading request is malformed, or no route serves it. The caller may retry the latter, since another
 /// host may know a newer configuration.
 pub fn check_gradings(
-    spec: &JobSpec,
+    items: &[ItemSpec],
     services: &ServiceMap,
     decode_body: fn(&str) -> Option<Bytes>,
 ) -> Result<(), ResultCode> {
-    for grading in spec.items.iter().filter_map(|item| item.grading.as_ref()) {
+    for grading in items.iter().filter_map(|item| item.grading.as_ref()) {
         decode_body(&grading.body).ok_or(ResultCode::BadRequest)?;
         services.route(&grading.host, &grading.path).ok_or(ResultCode::NoTarget)?;
     }
     Ok(())
 }
 
+/// Decodes a submitted job, checks it and encodes it for the store, item by item.
+fn encode_job(context: &HostContext, services: &ServiceMap, body: ReceivedBody) -> Result<EncodedJob, ResultCode> {
+    let codec = &context.caller_codec;
+    let mut encoder = JobEncoder::new(&context.memory)?;
+    let outline = (codec.decode_job)(body, &mut |item| {
+        check_gradings(std::slice::from_ref(&item), services, codec.decode_item_body)?;
+        encoder.add_item(&item)
+    })?;
+    encoder.finish(outline)
+}
+
 async fn route_request(
     context: &Arc<HostContext>,
     services: &ServiceMap,
@@ -203,14 +215,16 @@
         if !takes_job_call(context) {
             return Ok(refuse_request(head, ResultCode::NotReady, Some(OTHER_HOST_RETRY_DELAY)));
         }
-        let spec = (context.caller_codec.decode_job)(&body.to_vec()).ok_or(ResultCode::BadRequest)?;
-        check_gradings(&spec, services, context.caller_codec.decode_item_body)?;
+        let encoded = match encode_job(context, services, body) {
+            Err(ResultCode::HostBusy) => return Ok(code_reply(ResultCode::HostBusy, Some(OTHER_HOST_RETRY_DELAY))),
+            encoded => encoded?,
+        };
         let job = head.request_id.clone();
         let caller_host = head.host.clone();
         // A job belongs to the organisation whose key the caller sent, also where none is needed: reads bring that key.
         let key_holder = head.key.as_deref().and_then(|key| services.key_holder(key));
         let organisation = organisation.or_else(|| key_holder.map(|rule| rule.name.clone()));
-        return Ok(submit_job(context, Submission { job, route, caller_host, organisation, spec }).await);
+        return Ok(submit_job(context, Submission { job, route, caller_host, organisation, encoded }).await);
     }
     let stream = match find_stream_start(context, route, head).await {
         Ok(stream) => stream,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -11,6 +11,7 @@
 pub mod item_scheduler;
 pub mod job_cache;
 pub mod job_calls;
+pub mod job_encoder;
 pub mod job_ownership;
 pub mod job_progress;
 pub mod job_record;
--- a/src/jobs/job_calls.rs
+++ b/src/jobs/job_calls.rs
@@ -5,8 +5,9 @@
 
 use crate::entry::host_context::HostContext;
 use crate::fleet::service_map::RouteRule;
+use crate::jobs::job_encoder::EncodedJob;
 use crate::jobs::job_ownership::preferred_owner;
-use crate::jobs::job_record::{ItemSet, JobHeader, JobSpec};
+use crate::jobs::job_record::{ItemSet, JobHeader};
 use crate::jobs::job_store::{HeaderWrite, read_header, read_results, read_spec, replace_header, store_job};
 use crate::jobs::read_wait::ResultRead;
 use crate::prelude::*;
@@ -38,8 +39,8 @@
     pub caller_host: String,
     /// Organisation that is charged and may read the results; `None` when the caller sent no key.
     pub organisation: Option<OrganisationId>,
-    /// Decoded body of the request.
-    pub spec: JobSpec,
+    /// Body of the request, as it is stored.
+    pub encoded: EncodedJob,
 }
 
 /// Stores a submitted job, unless a job of this id exists; the response is the same in both cases.
@@ -54,10 +55,10 @@
     };
     let mut may_be_stored = false;
     loop {
-        match store_job(&context.store, &header, &submission.spec).await {
+        match store_job(&context.store, &header, &submission.encoded).await {
             Ok(HeaderWrite::Written(version)) => {
                 log::info!(
-                    job = job, route = header.route, model = header.model, step = submission.spec.step,
+                    job = job, route = header.route, model = header.model, step = submission.encoded.outline.step,
                     items = header.item_count, least_version = header.least_version, owner = header.owner,
                     elapsed_ms = whole_millis(boot_time().saturating_sub(started_at));
                     "job_accepted"
@@ -87,9 +88,10 @@
 
 fn build_header(context: &HostContext, submission: &Submission<'_>) -> Option<JobHeader> {
     let view = context.view();
-    let (route, spec) = (submission.route, &submission.spec);
+    let (route, encoded) = (submission.route, &submission.encoded);
+    let outline = &encoded.outline;
     let own_host = &context.settings.host;
-    let owner = preferred_owner(&view, &route.name, &spec.model).unwrap_or_else(|| own_host.clone());
+    let owner = preferred_owner(&view, &route.name, &outline.model).unwrap_or_else(|| own_host.clone());
     let member = view.members.iter().find(|member| member.host == owner);
     let owner_incarnation = if owner == *own_host { context.incarnation } else { member?.row.incarnation };
     Some(JobHeader {
@@ -97,10 +99,10 @@
         route: route.name.clone(),
         caller_host: submission.caller_host.clone(),
         organisation: submission.organisation.clone(),
-        model: spec.model.clone(),
-        least_version: spec.least_version,
-        item_count: u32::try_from(spec.items.len()).unwrap_or(u32::MAX),
-        group_target: spec.group_target,
+        model: outline.model.clone(),
+        least_version: outline.least_version,
+        item_count: encoded.item_count,
+        group_target: outline.group_target,
         submitted_ms: whole_millis((context.store.store_time)()?),
         objective_ms: whole_millis(route.job_objective),
         limit_ms: whole_millis(route.job_limit),
@@ -111,6 +113,7 @@
         listed_items: ItemSet::default(),
         listed_groups: 0,
         is_ended: false,
+        run_bytes: encoded.run_bytes as u64,
     })
 }
 
@@ -242,6 +245,11 @@
     if header.is_ended {
         return code_reply(ResultCode::NotFound, None);
     }
+    // The whole job is read for the body of one item.
+    let lease = context.memory.lease_body();
+    if lease.grow(usize::try_from(header.run_bytes).unwrap_or(usize::MAX)).is_err() {
+        return code_reply(ResultCode::HostBusy, Some(STORE_RETRY_AFTER));
+    }
     let Ok(spec) = read_spec(&context.store, &access.job).await else {
         return code_reply(ResultCode::StoreUnavailable, Some(STORE_RETRY_AFTER));
     };
--- a/src/jobs/job_record.rs
+++ b/src/jobs/job_record.rs
@@ -18,6 +18,12 @@
 /// jobs at once.
 pub const JOB_PARTITIONS: u64 = 16;
 
+/// Memory of an item beside its texts, in bytes: its specification, its progress and its place in the schedule.
+const ITEM_BYTES: usize = 640;
+
+/// Memory of a header of an item beside its texts, in bytes.
+const HEADER_BYTES: usize = 64;
+
 /// Request that a job runs as one of its items.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemSpec {
@@ -51,6 +57,32 @@
     pub body: String,
 }
 
+impl ItemSpec {
+    /// Memory that a host needs for the item while it runs the job, in bytes; the output is not included.
+    #[must_use]
+    pub fn run_bytes(&self) -> usize {
+        let headers: usize = self.headers.iter().map(|(name, value)| name.len() + value.len() + HEADER_BYTES).sum();
+        let grading = self
+            .grading
+            .as_ref()
+            .map_or(0, |grading| grading.id.len() + grading.host.len() + grading.path.len() + grading.body.len());
+        ITEM_BYTES + self.id.len() + self.path.len() + self.body.len() + self.group.len() + headers + grading
+    }
+}
+
+/// What a job says beside its items.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct JobOutline {
+    /// As in [`JobSpec::step`].
+    pub step: u64,
+    /// As in [`JobSpec::model`].
+    pub model: String,
+    /// As in [`JobSpec::least_version`].
+    pub least_version: WeightVersion,
+    /// As in [`JobSpec::group_target`].
+    pub group_target: u32,
+}
+
 /// A job as its caller submitted it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -108,6 +140,14 @@
     pub listed_groups: u32,
     /// Whether the caller ended the job, finished or not.
     pub is_ended: bool,
+    /// Memory that a host needs to run the job, in bytes; zero in rows of earlier program versions, which do not keep the field.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub run_bytes: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
 
 impl JobSpec {
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -23,6 +23,7 @@
 use crate::jobs::job_store::{
     HeaderWrite, append_results, plan_append, read_header, read_results, read_spec, replace_header,
 };
+use crate::memory::KeptMemory;
 use crate::prelude::*;
 use crate::row_store::{RowVersion, StoreCallError};
 
@@ -42,6 +43,9 @@
 /// store time.
 const ABANDON_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest time between two checks whether there is memory for a job.
+const MEMORY_POLL: Duration = Duration::from_millis(200);
+
 /// Why a runner ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunnerOutcome {
@@ -151,6 +155,7 @@
 pub async fn run_job(context: Arc<HostContext>, header: JobHeader, version: RowVersion) -> RunnerOutcome {
     let job = header.job.clone();
     let started_at = boot_time();
+    let Some(_memory) = wait_for_memory(&context, &header, version).await else { return RunnerOutcome::OwnerChanged };
     let outcome = match prepare_runner(&context, header, version).await {
         Ok(mut runner) => {
             let outcome = runner.run().await;
@@ -178,6 +183,24 @@
     outcome
 }
 
+/// Waits until there is memory for a job; `None` when its header has changed meanwhile.
+async fn wait_for_memory(context: &Arc<HostContext>, header: &JobHeader, version: RowVersion) -> Option<KeptMemory> {
+    let bytes = usize::try_from(header.run_bytes).unwrap_or(usize::MAX);
+    let mut is_logged = false;
+    loop {
+        if let Some(memory) = context.memory.keep(bytes) {
+            return Some(memory);
+        }
+        if !std::mem::replace(&mut is_logged, true) {
+            log::warn!(job = header.job, bytes = bytes; "job_waits_for_memory");
+        }
+        context.board.wait_change(MEMORY_POLL).await;
+        if context.board.get(&header.job).is_none_or(|known| known.version > version) {
+            return None;
+        }
+    }
+}
+
 async fn prepare_runner(
     context: &Arc<HostContext>,
     header: JobHeader,
--- a/src/jobs/job_store.rs
+++ b/src/jobs/job_store.rs
@@ -1,16 +1,19 @@
 //! Reads and writes the stored rows of batch jobs. Header writes are conditional on the version of the header row.
 
+use std::marker::PhantomData;
+
+use bytes::Bytes;
+
 use crate::jobs::job_cache::decode_header;
+use crate::jobs::job_encoder::{EncodedJob, MAX_ROW_BYTES};
 use crate::jobs::job_progress::PROGRESS_TABLE;
 use crate::jobs::job_record::{ITEM_TABLE, ItemResult, JOB_TABLE, JobHeader, JobSpec, RESULT_TABLE, job_partition};
+use crate::memory::ReceivedBody;
 use crate::row_store::{
     PartitionTransaction, RowContent, RowName, RowRange, RowStore, RowVersion, StoreCallError, StoredRow,
     TransactionResult, VersionCheck,
 };
 
-/// Maximum size of a row's value; the stores of installations accept values of up to 64 KiB.
-const MAX_ROW_BYTES: usize = 60_000;
-
 /// Maximum size of the values that one transaction writes; the stores accept 1 MB after encoding.
 const MAX_TRANSACTION_BYTES: usize = 600_000;
 
@@ -58,29 +61,29 @@
 /// # Errors
 ///
 /// The store call failed; after a lost answer the job may have been accepted.
-pub async fn store_job(store: &RowStore, header: &JobHeader, spec: &JobSpec) -> Result<HeaderWrite, StoreCallError> {
-    let value = encode(spec);
-    let chunks: Vec<RowContent> = value
-        .chunks(MAX_ROW_BYTES)
-        .enumerate()
-        .map(|(chunk, bytes)| RowContent {
+pub async fn store_job(store: &RowStore, header: &JobHeader, job: &EncodedJob) -> Result<HeaderWrite, StoreCallError> {
+    let chunks: Vec<(usize, &Vec<u8>)> = job.rows.iter().enumerate().collect();
+    // Copies of a few rows at a time, since a job may be large.
+    let build_rows = |chunks: &[(usize, &Vec<u8>)]| -> Vec<RowContent> {
+        let row = |(chunk, value): &(usize, &Vec<u8>)| RowContent {
             table: ITEM_TABLE,
-            key: item_key(&header.job, chunk),
-            value: bytes.to_vec(),
-        })
-        .collect();
+            key: item_key(&header.job, *chunk),
+            value: (*value).clone(),
+        };
+        chunks.iter().map(row).collect()
+    };
     let per_transaction = (MAX_TRANSACTION_BYTES / MAX_ROW_BYTES).min(MAX_TRANSACTION_ROWS);
     let last_transaction_start = chunks.len().saturating_sub(per_transaction);
     // The last transaction writes the header together with the last chunks. Chunks without a header have no effect.
     for group in chunks[..last_transaction_start].chunks(per_transaction) {
         let transaction = PartitionTransaction {
             part: job_partition(&header.job),
-            writes: group.to_vec(),
+            writes: build_rows(group),
             ..PartitionTransaction::default()
         };
         (store.transact)(transaction).await?;
     }
-    let mut writes = chunks[last_transaction_start..].to_vec();
+    let mut writes = build_rows(&chunks[last_transaction_start..]);
     writes.push(header_row(header));
     write_header(store, header, 0, writes).await
 }
@@ -142,8 +145,8 @@
 pub async fn read_spec(store: &RowStore, job: &str) -> Result<JobSpec, StoreCallError> {
     let (from, to) = (format!("{job}/"), format!("{job}0"));
     let (rows, _) = store.read_partition(ITEM_TABLE, &job_partition(job), Some(from), Some(to)).await?;
-    let bytes: Vec<u8> = rows.into_iter().filter_map(|row| row.value).flatten().collect();
-    serde_json::from_slice(&bytes).map_err(|_| StoreCallError::Malformed)
+    let segments: Vec<Bytes> = rows.into_iter().filter_map(|row| row.value).map(Bytes::from).collect();
+    ReceivedBody::from(segments).decode_json(PhantomData).map_err(|_| StoreCallError::Malformed)
 }
 
 /// Reads results from position `start` on, as many as one answer of the store holds.
--- a/src/memory/lease_table.rs
+++ b/src/memory/lease_table.rs
@@ -71,7 +71,7 @@
     /// Bytes of connections that have yielded and have not ended yet.
     ending_bytes: usize,
     ending_connections: usize,
-    /// Bytes that the host needs in any case. They never yield, and only large leases make room for them.
+    /// Bytes that the host needs for what it has accepted. They never yield, and leave the reserved part to small leases.
     kept: usize,
 }
 
@@ -104,9 +104,18 @@
         self.connections
     }
 
-    /// Counts bytes that the host needs in any case.
-    pub fn keep(&mut self, bytes: usize) {
-        self.kept += bytes;
+    /// Size of the budget in bytes.
+    #[must_use]
+    pub fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
+    /// Counts bytes that the host needs for what it has accepted; returns false when they must wait for the end of others. The
+    /// first ones never wait.
+    pub fn keep(&mut self, bytes: usize) -> bool {
+        let is_kept = self.kept == 0 || self.kept + bytes <= self.max_bytes;
+        self.kept += if is_kept { bytes } else { 0 };
+        is_kept
     }
 
     /// Ends the count of [`Self::keep`].
@@ -154,7 +163,9 @@
         loop {
             let Some(position) = self.position(id) else { return LeaseDecision { is_granted: false, yielded } };
             let is_small = self.leases[position].bytes + bytes <= SMALL_LEASE_BYTES;
-            let unavailable = if is_small { 0 } else { self.max_bytes / RESERVED_SHARE + self.kept };
+            let reserved = self.max_bytes / RESERVED_SHARE;
+            let unavailable =
+                if is_small { self.kept.min(self.max_bytes - reserved) } else { self.kept.saturating_add(reserved) };
             if self.used - self.ending_bytes + bytes <= self.max_bytes.saturating_sub(unavailable) {
                 self.used += bytes;
                 self.leases[position].bytes += bytes;
--- a/src/memory/memory_budget.rs
+++ b/src/memory/memory_budget.rs
@@ -107,11 +107,17 @@
         self.refused.load(Ordering::Relaxed)
     }
 
-    /// Counts memory that this host needs in any case, until the returned count is dropped.
+    /// Size of the budget in bytes.
     #[must_use]
-    pub fn keep(self: &Arc<Self>, bytes: usize) -> KeptMemory {
-        self.lock().table.keep(bytes);
-        KeptMemory { budget: Arc::clone(self), bytes }
+    pub fn max_bytes(&self) -> usize {
+        self.lock().table.max_bytes()
+    }
+
+    /// Counts memory that this host needs until the returned count is dropped; `None` when it must wait for the end of others.
+    #[must_use]
+    pub fn keep(self: &Arc<Self>, bytes: usize) -> Option<KeptMemory> {
+        let is_kept = self.lock().table.keep(bytes);
+        is_kept.then(|| KeptMemory { budget: Arc::clone(self), bytes })
     }
 
     /// Lease for the body of a request, which yields to others until [`MemoryLease::settle`].
@@ -197,7 +203,7 @@
     Some(kilobytes * 1024)
 }
 
-/// Memory that a host needs in any case, counted until dropped.
+/// Memory that a host needs for what it has accepted, counted until dropped.
 #[derive(Debug)]
 pub struct KeptMemory {
     budget: Arc<MemoryBudget>,
--- a/src/memory/received_body.rs
+++ b/src/memory/received_body.rs
@@ -5,13 +5,14 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
-use std::io::Read;
+use std::io::{BufReader, Read};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
+use serde::de::DeserializeSeed;
 
 use super::{MemoryBudget, MemoryExhausted, MemoryLease};
 use crate::prelude::*;
@@ -22,6 +23,9 @@
 /// Size of the first allocation for a body in bytes, which holds most requests.
 const FIRST_BYTES: usize = 2 * 1024;
 
+/// Size up to which a body is copied into one buffer to be decoded, which is faster.
+const MAX_JOINED_BYTES: usize = 1024 * 1024;
+
 /// Time for which a refused body is still read, so that its sender gets the answer before the connection is reset.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
@@ -61,6 +65,12 @@
     }
 }
 
+impl From<Vec<Bytes>> for ReceivedBody {
+    fn from(segments: Vec<Bytes>) -> Self {
+        Self { segments, lease: None }
+    }
+}
+
 impl ReceivedBody {
     /// Size in bytes.
     #[must_use]
@@ -86,6 +96,24 @@
         self.segments.concat()
     }
 
+    /// Decodes the body as JSON. The segments of a large body are dropped one by one as they are decoded.
+    ///
+    /// # Errors
+    ///
+    /// The body is not JSON, or not of the expected form.
+    pub fn decode_json<V>(self, seed: impl for<'de> DeserializeSeed<'de, Value = V>) -> serde_json::Result<V> {
+        if self.len() <= MAX_JOINED_BYTES {
+            let bytes = self.to_vec();
+            let mut decoder = serde_json::Deserializer::from_slice(&bytes);
+            let value = seed.deserialize(&mut decoder)?;
+            return decoder.end().map(|()| value);
+        }
+        let reader = BufReader::with_capacity(SEGMENT_BYTES, self.into_reader());
+        let mut decoder = serde_json::Deserializer::from_reader(reader);
+        let value = seed.deserialize(&mut decoder)?;
+        decoder.end().map(|()| value)
+    }
+
     /// Reader that gives the memory of each segment back once it was read.
     #[must_use]
     pub fn into_reader(self) -> SegmentReader {
@@ -94,20 +122,12 @@
 }
 
 /// Reader of segments; drops each one once it was read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SegmentReader {
     segments: VecDeque<Bytes>,
     lease: Option<Arc<MemoryLease>>,
 }
 
-impl SegmentReader {
-    /// Reader of these segments, which no lease counts.
-    #[must_use]
-    pub fn new(segments: VecDeque<Bytes>) -> Self {
-        Self { segments, lease: None }
-    }
-}
-
 impl Read for SegmentReader {
     fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
         while let Some(segment) = self.segments.front_mut() {
--- a/src/relay/caller_codec.rs
+++ b/src/relay/caller_codec.rs
@@ -4,7 +4,8 @@
 use hyper::header::HeaderMap;
 use hyper::http;
 
-use crate::jobs::job_record::{ItemResult, JobSpec};
+use crate::jobs::job_record::{ItemResult, ItemSpec, JobOutline};
+use crate::memory::ReceivedBody;
 use crate::prelude::*;
 
 /// Operation that the method, path and query of a caller's request select.
@@ -71,6 +72,9 @@
     pub results: Vec<ItemResult>,
 }
 
+/// Function that takes the items of a job in their order; an error ends the decoding.
+pub type ItemTaker<'a> = &'a mut dyn FnMut(ItemSpec) -> Result<(), ResultCode>;
+
 /// Translation between the wire format of callers and the types of this program.
 #[derive(Debug, Clone, Copy)]
 pub struct CallerCodec {
@@ -79,8 +83,9 @@
     /// Returns the headers to forward to a target, without the hop-by-hop headers, the key, and the headers that this
     /// program sets itself.
     pub strip: fn(&HeaderMap) -> HeaderMap,
-    /// Decodes the body of a request that submits a batch job; `None` when the body is malformed.
-    pub decode_job: fn(&[u8]) -> Option<JobSpec>,
+    /// Decodes the body of a request that submits a batch job, and passes each item on as it is decoded. Fails with the error of
+    /// [`ItemTaker`], or with [`ResultCode::BadRequest`] when the body is malformed.
+    pub decode_job: fn(ReceivedBody, ItemTaker<'_>) -> Result<JobOutline, ResultCode>,
     /// Encodes a page as the body of a JSON response.
     pub encode_page: fn(&ResultPage) -> Bytes,
     /// Decodes an item's request body from the text in the job; `None` when the text is malformed.
--- a/tests/integration/jobs/gradings.rs
+++ b/tests/integration/jobs/gradings.rs
@@ -210,7 +210,7 @@
     let check = |grading: Option<GradingSpec>| {
         let mut spec = spec(1, 2);
         spec.items[1].grading = grading;
-        check_gradings(&spec, &services, decode)
+        check_gradings(&spec.items, &services, decode)
     };
     let host = services.routes[0].host.clone();
     let known = GradingSpec { host, ..grading(&format!("{}x", services.routes[0].path_prefix)) };
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -24,6 +24,7 @@
 use camphorspring::relay::event_reader::StreamEvent;
 use camphorspring::relay::stream_origins::StreamOrigins;
 use camphorspring::relay::target_codec::{TargetCodec, TargetHead};
+use camphorspring::result_code::ResultCode;
 use googletest::prelude::*;
 use hyper::Request;
 use tokio::sync::watch;
@@ -73,7 +74,7 @@
         action: CallerAction::Forward,
     },
     strip: Clone::clone,
-    decode_job: |_| None,
+    decode_job: |_, _| Err(ResultCode::BadRequest),
     encode_page: |_| Bytes::new(),
     decode_item_body: |_| Some(Bytes::new()),
 };
--- a/tests/integration/jobs/plan.rs
+++ b/tests/integration/jobs/plan.rs
@@ -6,7 +6,9 @@
 use camphorspring::fleet::fleet_view::{FleetView, TargetEntry};
 use camphorspring::fleet::target_load::LoadTable;
 use camphorspring::jobs::item_scheduler::{IdleConnections, ItemScheduler, PlacementContext, RunOutcome};
-use camphorspring::jobs::job_record::{ItemSpec, JobSpec};
+use camphorspring::jobs::job_encoder::{EncodedJob, JobEncoder};
+use camphorspring::jobs::job_record::{ItemSpec, JobOutline, JobSpec};
+use camphorspring::memory::MemoryBudget;
 use googletest::prelude::*;
 
 use crate::fleet::builders::{at, engine, share_clock, view};
@@ -25,6 +27,21 @@
     JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items: items.collect() }
 }
 
+/// Job as a host encodes it for the store.
+pub fn encode_job(spec: &JobSpec) -> EncodedJob {
+    let mut encoder = JobEncoder::new(&MemoryBudget::new(1 << 24, 1)).expect("there is memory");
+    for item in &spec.items {
+        encoder.add_item(item).expect("there is memory");
+    }
+    let outline = JobOutline {
+        step: spec.step,
+        model: spec.model.clone(),
+        least_version: spec.least_version,
+        group_target: spec.group_target,
+    };
+    encoder.finish(outline).expect("there is memory")
+}
+
 fn start_all(
     scheduler: &mut ItemScheduler,
     loads: &mut LoadTable,
--- a/tests/integration/jobs/removal.rs
+++ b/tests/integration/jobs/removal.rs
@@ -13,6 +13,7 @@
 
 use super::results::{header, item, memory_store, wait_for};
 use crate::fleet::builders::at;
+use crate::jobs::plan::encode_job;
 
 const RETENTION: Duration = Duration::from_mins(2);
 
@@ -49,7 +50,7 @@
     let store = memory_store();
     let items = (0..300).map(item).collect();
     let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items };
-    let write = wait_for(store_job(&store, &header(300), &spec)).expect("the store answers");
+    let write = wait_for(store_job(&store, &header(300), &encode_job(&spec))).expect("the store answers");
     let HeaderWrite::Written(version) = write else { panic!("the job is new") };
     let segment = ProgressSegment {
         software: None,
--- a/tests/integration/jobs/results.rs
+++ b/tests/integration/jobs/results.rs
@@ -15,6 +15,8 @@
 };
 use googletest::prelude::*;
 
+use crate::jobs::plan::encode_job;
+
 /// Runs a future to its end on a new single-threaded runtime.
 pub fn wait_for<T>(future: impl Future<Output = T>) -> T {
     let runtime = tokio_runtime();
@@ -133,6 +135,7 @@
         listed_items: ItemSet::default(),
         listed_groups: 0,
         is_ended: false,
+        run_bytes: 0,
     }
 }
 
@@ -154,7 +157,8 @@
     let store = memory_store();
     let items = (0..300).map(item).collect();
     let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items };
-    let accept = || written_version(&wait_for(store_job(&store, &header(300), &spec)).expect("the store answers"));
+    let accept =
+        || written_version(&wait_for(store_job(&store, &header(300), &encode_job(&spec))).expect("the store answers"));
     expect_that!(accept(), some(anything()));
     expect_that!(accept(), none());
     expect_that!(wait_for(read_spec(&store, "j")).expect("the store answers"), eq(&spec));
@@ -178,7 +182,8 @@
 fn results_keep_position_and_content() {
     let store = memory_store();
     let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items: Vec::new() };
-    let mut version = written_version(&wait_for(store_job(&store, &header(4), &spec)).expect("the store answers"));
+    let mut version =
+        written_version(&wait_for(store_job(&store, &header(4), &encode_job(&spec))).expect("the store answers"));
     let results = vec![result(0, 10), result(1, 130_000), result(2, 60_000), result(3, 5)];
     let mut current_header = header(4);
     for group in [&results[..1], &results[1..]] {
@@ -205,7 +210,8 @@
 fn append_of_a_former_owner_is_refused() {
     let store = memory_store();
     let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items: Vec::new() };
-    let first = written_version(&wait_for(store_job(&store, &header(4), &spec)).expect("the store answers"));
+    let first =
+        written_version(&wait_for(store_job(&store, &header(4), &encode_job(&spec))).expect("the store answers"));
     let first = first.expect("it was written");
     let mut taken = header(4);
     taken.owner = "h2".to_owned();
--- a/tests/integration/jobs/routes.rs
+++ b/tests/integration/jobs/routes.rs
@@ -17,6 +17,7 @@
 use super::item_http::context_with_view;
 use super::results::{header, item, wait_for};
 use crate::fleet::builders::{at, plain_route, service_map, view};
+use crate::jobs::plan::encode_job;
 
 /// Time that a runner gets to give items up.
 const RUN_TIME: Duration = Duration::from_millis(400);
@@ -32,7 +33,7 @@
     let items = (0..2).map(item).collect();
     let spec = JobSpec { step: 0, model: "m".to_owned(), least_version: 1, group_target: 1, items };
     let header = header(2);
-    match store_job(&context.store, &header, &spec).await {
+    match store_job(&context.store, &header, &encode_job(&spec)).await {
         Ok(HeaderWrite::Written(version)) => (header, version),
         other => panic!("the job is not stored: {other:?}"),
     }
--- a/tests/integration/memory/leases.rs
+++ b/tests/integration/memory/leases.rs
@@ -61,7 +61,8 @@
         (table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)));
     table.grow(settled, 600 * KIB, at(0));
     table.set_yielding(settled, false, at(0));
-    table.keep(200 * KIB);
+    expect_that!(table.keep(200 * KIB), eq(true));
+    expect_that!(table.keep(900 * KIB), eq(false), "a further job waits");
     expect_that!(table.grow(large, 200 * KIB, at(60_000)).is_granted, eq(false));
     expect_that!(table.grow(small, 100 * KIB, at(60_000)).is_granted, eq(true));
     table.release_kept(200 * KIB);
