Let a new connection wait until the one that yields to it has ended

A new connection was refused while earlier ones that had yielded still had their descriptors, so a fast crowd could keep newcomers out for moments. It waits now, for up to a second, and the limit of connections is never exceeded.

--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -104,7 +104,7 @@
         incarnation,
         view,
         store: Arc::new((dependencies.new_store)()),
-        memory: MemoryBudget::for_machine(dependencies.settings.memory_megabytes),
+        memory: MemoryBudget::for_machine(dependencies.settings.memory_megabytes, usize::MAX),
         pool: ConnectionPool::for_targets(),
         leaving_targets: watch::Sender::new(Vec::new()),
         links: LinkTable::default(),
--- a/src/memory/connection_lease.rs
+++ b/src/memory/connection_lease.rs
@@ -77,7 +77,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Ok(lease) = budget.lease_connection(CONNECTION_BYTES) {
+                if let Ok(lease) = budget.lease_connection(CONNECTION_BYTES).await {
                     return (stream, Arc::new(ConnectionLease { lease, buffered: AtomicUsize::new(0) }));
                 }
             }
--- a/src/memory/lease_table.rs
+++ b/src/memory/lease_table.rs
@@ -17,9 +17,6 @@
 /// Time without progress after which any lease yields.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
-/// Part of the connections that may be ending beyond the limit, whose descriptors are still open: one divided by this number.
-const ENDING_SHARE: usize = 8;
-
 /// What a lease is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseKind {
@@ -49,7 +46,18 @@
     }
 }
 
-/// Answer to a lease that asks for memory or for a connection.
+/// Answer to a request for a further connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionRoom {
+    /// The connection may be added.
+    Free,
+    /// Another connection is ending, after which there is room; the one that has just yielded, if any.
+    Ending(Option<LeaseId>),
+    /// All connections have requests to answer.
+    Refused,
+}
+
+/// Answer to a lease that asks for memory.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeaseDecision {
     /// Whether the lease gets what it asked for.
@@ -141,14 +149,15 @@
         id
     }
 
-    /// Whether a further connection may be added.
-    pub fn make_room_for_connection(&mut self, now: BootTime) -> LeaseDecision {
-        if self.connections - self.ending_connections < self.max_connections {
-            return LeaseDecision { is_granted: true, yielded: Vec::new() };
+    /// Makes room for a further connection.
+    pub fn make_room_for_connection(&mut self, now: BootTime) -> ConnectionRoom {
+        if self.connections < self.max_connections {
+            return ConnectionRoom::Free;
+        }
+        if self.ending_connections > 0 {
+            return ConnectionRoom::Ending(None);
         }
-        let yielded = self.end_idle_connection(now);
-        let has_descriptors = self.connections < self.max_connections + self.max_connections / ENDING_SHARE;
-        LeaseDecision { is_granted: yielded.is_some() && has_descriptors, yielded: yielded.into_iter().collect() }
+        self.end_idle_connection(now).map_or(ConnectionRoom::Refused, |id| ConnectionRoom::Ending(Some(id)))
     }
 
     /// Ends the connection that wastes most; `None` when all have requests to answer.
--- a/src/memory/memory_budget.rs
+++ b/src/memory/memory_budget.rs
@@ -7,7 +7,7 @@
 use rustix::process::{Resource, getrlimit};
 use tokio::sync::Notify;
 
-use super::lease_table::{LeaseDecision, LeaseId, LeaseKind, LeaseTable};
+use super::lease_table::{ConnectionRoom, LeaseId, LeaseKind, LeaseTable};
 use crate::prelude::*;
 
 /// Part of the machine's memory that the budget gets: one divided by this number. The rest is for the program itself, for
@@ -26,6 +26,9 @@
 /// File with the memory of the machine.
 const MEMORY_FILE: &str = "/proc/meminfo";
 
+/// Longest time that a new connection waits for the end of another one.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Shortest time between two log lines on clients that do not behave.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -56,6 +59,7 @@
     yielded: AtomicU64,
     refused: AtomicU64,
     logged_at: Mutex<Option<BootTime>>,
+    connection_ended: Notify,
 }
 
 impl MemoryBudget {
@@ -68,17 +72,19 @@
             yielded: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             logged_at: Mutex::default(),
+            connection_ended: Notify::new(),
         })
     }
 
-    /// Budget of a process on a machine with this much memory, or with what the system tells. Connections are limited by the
-    /// process's limit of descriptors.
+    /// Budget of a process on a machine with this much memory, or with what the system tells. Connections are limited to
+    /// `max_connections` and by the process's limit of descriptors.
     #[must_use]
-    pub fn for_machine(memory_megabytes: Option<u32>) -> Arc<Self> {
+    pub fn for_machine(memory_megabytes: Option<u32>, max_connections: usize) -> Arc<Self> {
         let setting = memory_megabytes.map(|megabytes| megabytes as usize * 1024 * 1024);
         let bytes = setting.or_else(machine_memory).unwrap_or(DEFAULT_MEMORY_BYTES) / MEMORY_SHARE;
         let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(MAX_CONNECTIONS).min(MAX_CONNECTIONS);
         let connections = usize::try_from(descriptors * DESCRIPTOR_QUARTERS / 4).unwrap_or(usize::MAX);
+        let connections = connections.min(max_connections);
         log::info!(bytes = bytes, connections = connections; "memory_budget");
         Self::new(bytes, connections)
     }
@@ -123,7 +129,7 @@
     /// Lease for the body of a request, which yields to others until [`MemoryLease::settle`].
     #[must_use]
     pub fn lease_body(self: &Arc<Self>) -> MemoryLease {
-        self.add_lease(LeaseKind::Body)
+        self.add_lease(&mut self.lock(), LeaseKind::Body)
     }
 
     /// Lease for a connection with this many bytes, which yields to others until [`MemoryLease::settle`].
@@ -131,19 +137,44 @@
     /// # Errors
     ///
     /// All other connections have requests to answer, or the memory is used up by what does not yield.
-    pub fn lease_connection(self: &Arc<Self>, bytes: usize) -> Result<MemoryLease, MemoryExhausted> {
-        let decision = self.lock().table.make_room_for_connection(boot_time());
-        self.carry_out(decision)?;
-        let lease = self.add_lease(LeaseKind::Connection);
+    pub async fn lease_connection(self: &Arc<Self>, bytes: usize) -> Result<MemoryLease, MemoryExhausted> {
+        let added = tokio::time::timeout(END_TIMEOUT, self.add_connection()).await;
+        let Ok(Some(lease)) = added else { return Err(self.record_refusal()) };
         lease.grow(bytes)?;
         Ok(lease)
     }
 
+    /// Adds a lease for a connection as soon as there is room; `None` when all others have requests to answer.
+    async fn add_connection(self: &Arc<Self>) -> Option<MemoryLease> {
+        loop {
+            let mut ended = std::pin::pin!(self.connection_ended.notified());
+            ended.as_mut().enable();
+            match self.try_add_connection() {
+                Ok(lease) => return Some(lease),
+                Err(ConnectionRoom::Ending(_)) => ended.await,
+                Err(_) => return None,
+            }
+        }
+    }
+
+    fn try_add_connection(self: &Arc<Self>) -> Result<MemoryLease, ConnectionRoom> {
+        let mut state = self.lock();
+        let room = state.table.make_room_for_connection(boot_time());
+        if room == ConnectionRoom::Free {
+            return Ok(self.add_lease(&mut state, LeaseKind::Connection));
+        }
+        if let ConnectionRoom::Ending(Some(id)) = room {
+            self.end_leases(&state, &[id]);
+        }
+        Err(room)
+    }
+
     /// Ends the connection that wastes most, for example when no descriptor is free; returns whether there was one.
     pub fn end_idle_connection(&self) -> bool {
-        let ended = self.lock().table.end_idle_connection(boot_time());
-        let decision = LeaseDecision { is_granted: true, yielded: ended.into_iter().collect() };
-        self.carry_out(decision).is_ok() && ended.is_some()
+        let mut state = self.lock();
+        let ended = state.table.end_idle_connection(boot_time());
+        self.end_leases(&state, ended.as_slice());
+        ended.is_some()
     }
 
     /// Whether a line on clients that do not behave may be logged now. A crowd would cause one for each of its connections.
@@ -162,28 +193,26 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn add_lease(self: &Arc<Self>, kind: LeaseKind) -> MemoryLease {
+    fn add_lease(self: &Arc<Self>, state: &mut BudgetState, kind: LeaseKind) -> MemoryLease {
         let signal = Arc::<LeaseSignal>::default();
-        let mut state = self.lock();
         let id = state.table.add(kind, boot_time());
         state.signals.push((id, Arc::clone(&signal)));
-        MemoryLease { budget: Arc::clone(self), id, signal }
+        MemoryLease { budget: Arc::clone(self), id, signal, kind }
     }
 
-    /// Ends the leases that have yielded.
-    fn carry_out(&self, decision: LeaseDecision) -> Result<(), MemoryExhausted> {
-        for id in decision.yielded {
+    /// Tells the holders of leases that they have yielded.
+    fn end_leases(&self, state: &BudgetState, ids: &[LeaseId]) {
+        for id in ids {
             self.yielded.fetch_add(1, Ordering::Relaxed);
-            let state = self.lock();
-            let Ok(position) = state.signals.binary_search_by_key(&id, |(id, _)| *id) else { continue };
+            let Ok(position) = state.signals.binary_search_by_key(id, |(id, _)| *id) else { continue };
             let signal = &state.signals[position].1;
             signal.has_yielded.store(true, Ordering::Release);
             signal.segments.lock().unwrap_or_else(PoisonError::into_inner).clear();
             signal.yielded.notify_one();
         }
-        if decision.is_granted {
-            return Ok(());
-        }
+    }
+
+    fn record_refusal(&self) -> MemoryExhausted {
         let refused = self.refused.fetch_add(1, Ordering::Relaxed) + 1;
         if self.may_log() {
             let (used, connections) = (self.used(), self.connections());
@@ -192,7 +221,7 @@
                 "memory_budget_used_up"
             );
         }
-        Err(MemoryExhausted)
+        MemoryExhausted
     }
 }
 
@@ -222,6 +251,7 @@
     budget: Arc<MemoryBudget>,
     id: LeaseId,
     signal: Arc<LeaseSignal>,
+    kind: LeaseKind,
 }
 
 impl MemoryLease {
@@ -231,8 +261,11 @@
     ///
     /// The lease itself has yielded, or there is no room and nothing yields to it.
     pub fn grow(&self, bytes: usize) -> Result<(), MemoryExhausted> {
-        let decision = self.budget.lock().table.grow(self.id, bytes, boot_time());
-        self.budget.carry_out(decision)
+        let mut state = self.budget.lock();
+        let decision = state.table.grow(self.id, bytes, boot_time());
+        self.budget.end_leases(&state, &decision.yielded);
+        drop(state);
+        if decision.is_granted { Ok(()) } else { Err(self.budget.record_refusal()) }
     }
 
     /// Gives bytes back.
@@ -287,5 +320,8 @@
         if let Ok(position) = state.signals.binary_search_by_key(&self.id, |(id, _)| *id) {
             state.signals.remove(position);
         }
+        if self.kind == LeaseKind::Connection {
+            self.budget.connection_ended.notify_waiters();
+        }
     }
 }
--- a/tests/integration/memory/leases.rs
+++ b/tests/integration/memory/leases.rs
@@ -1,6 +1,6 @@
 //! Which lease yields to another one when a budget is used up.
 
-use camphorspring::memory::lease_table::{LeaseKind, LeaseTable};
+use camphorspring::memory::lease_table::{ConnectionRoom, LeaseKind, LeaseTable};
 use googletest::prelude::*;
 
 use crate::fleet::builders::at;
@@ -76,16 +76,25 @@
     let mut table = table();
     let mut ids = Vec::new();
     for time in 0..4 {
-        expect_that!(table.make_room_for_connection(at(time)).is_granted, eq(true));
+        expect_that!(table.make_room_for_connection(at(time)), eq(ConnectionRoom::Free));
         let id = table.add(LeaseKind::Connection, at(time));
         table.grow(id, 16 * KIB, at(time));
         ids.push(id);
     }
     table.set_yielding(ids[0], false, at(4));
-    let decision = table.make_room_for_connection(at(5));
-    expect_that!(decision.yielded, eq(&vec![ids[1]]), "the one that has been idle longest");
-    expect_that!(decision.is_granted, eq(false), "its descriptor is still open");
+    let room = table.make_room_for_connection(at(5));
+    expect_that!(room, eq(ConnectionRoom::Ending(Some(ids[1]))), "the one that has been idle longest");
+    expect_that!(
+        table.make_room_for_connection(at(5)),
+        eq(ConnectionRoom::Ending(None)),
+        "its descriptor is still open"
+    );
     table.remove(ids[1]);
-    expect_that!(table.make_room_for_connection(at(6)).is_granted, eq(true));
+    expect_that!(table.make_room_for_connection(at(6)), eq(ConnectionRoom::Free));
     expect_that!((table.connections(), table.used()), eq((3, 48 * KIB)));
+    let last = table.add(LeaseKind::Connection, at(6));
+    for id in [ids[2], ids[3], last] {
+        table.set_yielding(id, false, at(6));
+    }
+    expect_that!(table.make_room_for_connection(at(60_000)), eq(ConnectionRoom::Refused), "all have requests");
 }
