Bound what callers, operators and peers may take of a host with serve

What callers saw: bodies one byte short of 1 MiB on 120 connections took 146 MB, at the address for callers and the one for operators; bodies in chunks of one byte took 180 MB. Where connection_limit was reached, newcomers were closed.

Cause: only handler calls were bounded, and bodies are read before them.

Change: both servers and the links of other hosts share one budget, as in serve-platform; idle connections yield.

Changed tests: PeerNetwork::start takes the budget; the checks are the same.

--- a/src/entry/host_metrics.rs
+++ b/src/entry/host_metrics.rs
@@ -3,7 +3,7 @@
 use prometheus::{Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 use crate::entry::host_context::HostContext;
-use crate::memory::MemoryMetrics;
+use crate::memory::{MemoryBudget, MemoryMetrics};
 use crate::metrics::render_metrics;
 use crate::prelude::*;
 
@@ -50,7 +50,6 @@
     limited_targets: IntGauge,
     connections_opened: IntGauge,
     requests_on_reused_connections: IntGauge,
-    memory: MemoryMetrics,
 }
 
 fn register<T: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: T) -> T {
@@ -164,11 +163,19 @@
                 &registry,
                 int_gauge("target_connections_reused", "Requests sent on a kept connection so far")?,
             ),
-            memory: MemoryMetrics::new(&registry)?,
             registry,
         })
     }
 
+    /// Adds the metrics of the memory budget.
+    ///
+    /// # Errors
+    ///
+    /// They were added before.
+    pub fn add_memory(&self, budget: &Arc<MemoryBudget>) -> Result<(), prometheus::Error> {
+        MemoryMetrics::register(&self.registry, budget)
+    }
+
     /// Sets the gauges to the present state of the host, and renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self, context: &HostContext) -> Vec<u8> {
@@ -190,7 +197,6 @@
         self.limited_targets.set(count_to_gauge(context.with_loads(|loads| loads.limits.limited_targets())));
         self.connections_opened.set(i64::try_from(context.pool.opened()).unwrap_or(i64::MAX));
         self.requests_on_reused_connections.set(i64::try_from(context.pool.reused()).unwrap_or(i64::MAX));
-        self.memory.update(&context.memory);
         render_metrics(&self.registry)
     }
 }
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -120,6 +120,7 @@
         stop: PlannedStop::default(),
         settings: dependencies.settings,
     });
+    context.metrics.add_memory(&context.memory).map_err(std::io::Error::other)?;
     let control_context = Arc::clone(&context);
     let (tables, store_router) = (dependencies.tables, dependencies.store_router);
     let store_address = parse_address(&context.settings.store_address)?;
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -14,13 +14,14 @@
 use tokio::runtime::Runtime;
 use tokio::sync::{Semaphore, watch};
 
+use crate::memory::MemoryBudget;
 use crate::prelude::*;
 pub use body::{BodySender, ReplyBody, StreamSendError};
 
 /// What one server accepts before it refuses requests or closes connections.
 #[derive(Debug, Clone)]
 pub struct ServerLimits {
-    /// Most open connections; a further one is closed at once.
+    /// Most open connections; an idle one is closed for a further one, or the further one if none is idle.
     pub connections: usize,
     /// Most handler calls at one time; a further request is refused with `HostBusy`.
     pub requests: usize,
@@ -144,7 +145,7 @@
     pub connections: AtomicUsize,
     /// Requests whose response is not complete and whose connection is open.
     pub requests: AtomicUsize,
-    /// Connections closed since the start because [`ServerLimits::connections`] was reached.
+    /// Idle connections closed since the start because another one needed their place or their memory.
     pub rejected_connections: AtomicUsize,
     /// Requests refused since the start because [`ServerLimits::requests`] was reached.
     pub rejected_requests: AtomicUsize,
@@ -166,6 +167,22 @@
     ///
     /// The address cannot be resolved or bound, or a system call on the listener fails.
     pub fn start(runtime: &Runtime, address: &str, limits: ServerLimits, handler: RequestHandler) -> io::Result<Self> {
+        let memory = MemoryBudget::for_machine(None, limits.connections);
+        Self::start_with_memory(runtime, address, limits, handler, memory)
+    }
+
+    /// Like [`Self::start`], with memory and connections from a budget that several servers share.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start`].
+    pub fn start_with_memory(
+        runtime: &Runtime,
+        address: &str,
+        limits: ServerLimits,
+        handler: RequestHandler,
+        memory: Arc<MemoryBudget>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
@@ -173,7 +190,7 @@
         let (stop, stopped) = watch::channel(false);
         let state = connection::ServerState {
             handler,
-            connection_permits: Arc::new(Semaphore::new(limits.connections)),
+            memory,
             request_permits: Arc::new(Semaphore::new(limits.requests)),
             limits,
             counters: Arc::clone(&counters),
--- a/src/http_server/connection.rs
+++ b/src/http_server/connection.rs
@@ -4,7 +4,6 @@
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,15 +16,16 @@
 use super::body::ServerBody;
 use super::{HeaderPair, HttpRequest, HttpResponse, RequestHandler, ServerCounters, ServerLimits};
 use crate::generated::caller_messages::{ErrorBody, ErrorBodyRan};
+use crate::memory::{
+    ConnectionLease, LeasedBody, MemoryBudget, MemoryLease, ReceiveError, accept_connection, linger, receive_body,
+};
 use crate::prelude::*;
-
-/// Delay after a failed accept, for example when no file descriptor is free.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+use crate::relay::read_budget::{BudgetedBody, BudgetedStream, ReadBudget};
 
 /// Parts of a server that all its connections share.
 pub(super) struct ServerState {
     pub(super) handler: RequestHandler,
-    pub(super) connection_permits: Arc<Semaphore>,
+    pub(super) memory: Arc<MemoryBudget>,
     pub(super) request_permits: Arc<Semaphore>,
     pub(super) limits: ServerLimits,
     pub(super) counters: Arc<ServerCounters>,
@@ -38,35 +38,41 @@
 ) {
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, lease) = tokio::select! {
+            accepted = accept_connection(&listener, &state.memory) => accepted,
             _ = stopped.wait_for(|stopped| *stopped) => return,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        let Ok(permit) = Arc::clone(&state.connection_permits).try_acquire_owned() else {
-            state.counters.rejected_connections.fetch_add(1, Ordering::Relaxed);
-            continue;
-        };
         let state = Arc::clone(&state);
         let stopped = stopped.clone();
         tokio::spawn(async move {
             state.counters.connections.fetch_add(1, Ordering::AcqRel);
-            serve_connection(stream, &state, stopped).await;
+            tokio::select! {
+                () = serve_connection(stream, &lease, &state, stopped) => {}
+                () = lease.wait_yielded() => {
+                    state.counters.rejected_connections.fetch_add(1, Ordering::Relaxed);
+                }
+            }
             state.counters.connections.fetch_sub(1, Ordering::AcqRel);
-            drop(permit);
         });
     }
 }
 
-async fn serve_connection(stream: TcpStream, state: &Arc<ServerState>, mut stopped: watch::Receiver<bool>) {
+async fn serve_connection(
+    stream: TcpStream,
+    lease: &Arc<ConnectionLease>,
+    state: &Arc<ServerState>,
+    mut stopped: watch::Receiver<bool>,
+) {
     let _ = stream.set_nodelay(true);
-    let mut stream = TimeoutStream::new(stream);
+    let budget = ReadBudget::default().with_lease(Arc::clone(lease));
+    let mut stream = TimeoutStream::new(BudgetedStream::new(stream, budget.clone()));
     stream.set_write_timeout(Some(state.limits.write_timeout));
-    let service_state = Arc::clone(state);
-    let service = service_fn(move |request| handle_request(request, Arc::clone(&service_state)));
+    let (service_state, service_lease) = (Arc::clone(state), Arc::clone(lease));
+    let service = service_fn(move |request: Request<Incoming>| {
+        budget.renew();
+        let request = request.map(|body| BudgetedBody::new(body, budget.clone()));
+        handle_request(request, Arc::clone(&service_state), Arc::clone(&service_lease))
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(state.limits.header_timeout)
@@ -102,15 +108,21 @@
 }
 
 async fn handle_request(
-    request: Request<Incoming>,
+    request: Request<BudgetedBody>,
     state: Arc<ServerState>,
-) -> Result<Response<ServerBody>, Infallible> {
+    lease: Arc<ConnectionLease>,
+) -> Result<Response<LeasedBody<ServerBody>>, Infallible> {
     let guard = RequestGuard::new(&state.counters);
     let reply = match read_request(request, &state, &guard).await {
-        Ok(request) => run_handler(request, &state).await,
+        Ok((request, body_lease)) => {
+            lease.settle();
+            let reply = run_handler(request, &state).await;
+            drop(body_lease);
+            reply
+        }
         Err(code) => refusal_reply(code).with_header("connection", "close"),
     };
-    Ok(into_response(reply, guard))
+    Ok(into_response(reply, guard).map(|body| LeasedBody::new(body, lease)))
 }
 
 async fn run_handler(request: HttpRequest, state: &Arc<ServerState>) -> HttpResponse {
@@ -128,29 +140,37 @@
 }
 
 async fn read_request(
-    request: Request<Incoming>,
+    request: Request<BudgetedBody>,
     state: &ServerState,
     guard: &RequestGuard,
-) -> Result<HttpRequest, ResultCode> {
-    let (head, body) = request.into_parts();
-    let body = Limited::new(body, state.limits.body_bytes).collect();
-    let body = match tokio::time::timeout(state.limits.body_timeout, body).await {
-        Ok(Ok(body)) => body.to_bytes().to_vec(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(ResultCode::TooLarge),
-        Ok(Err(_)) | Err(_) => return Err(ResultCode::BadRequest),
+) -> Result<(HttpRequest, Option<Arc<MemoryLease>>), ResultCode> {
+    let (head, mut body) = request.into_parts();
+    let receiving = receive_body(&state.memory, &mut body, state.limits.body_bytes);
+    let received = match tokio::time::timeout(state.limits.body_timeout, receiving).await {
+        Ok(Ok(received)) => received,
+        failed => {
+            linger(&state.memory, body);
+            return Err(match failed {
+                Ok(Err(ReceiveError::TooLarge)) => ResultCode::TooLarge,
+                Ok(Err(ReceiveError::NoMemory)) => ResultCode::HostBusy,
+                _ => ResultCode::BadRequest,
+            });
+        }
     };
+    let (body, lease) = received.into_vec();
     let headers = head.headers.iter().map(|(name, value)| HeaderPair {
         name: name.as_str().to_owned(),
         value: String::from_utf8_lossy(value.as_bytes()).into_owned(),
     });
-    Ok(HttpRequest {
+    let request = HttpRequest {
         method: head.method.as_str().to_owned(),
         path: head.uri.path().to_owned(),
         query: head.uri.query().unwrap_or_default().to_owned(),
         headers: headers.collect(),
         body,
         caller_gone: Arc::clone(&guard.caller_gone),
-    })
+    };
+    Ok((request, lease))
 }
 
 fn refusal_reply(code: ResultCode) -> HttpResponse {
--- a/src/memory/received_body.rs
+++ b/src/memory/received_body.rs
@@ -96,6 +96,12 @@
         self.segments.concat()
     }
 
+    /// Copies the body into one buffer, which the lease covers.
+    #[must_use]
+    pub fn into_vec(self) -> (Vec<u8>, Option<Arc<MemoryLease>>) {
+        (self.to_vec(), self.lease)
+    }
+
     /// Decodes the body as JSON. The segments of a large body are dropped one by one as they are decoded.
     ///
     /// # Errors
--- a/src/peer/network.rs
+++ b/src/peer/network.rs
@@ -18,14 +18,12 @@
 use super::{FrameHandler, FrameSender, PeerAddress, PeerCounters};
 use crate::control::HostIdentity;
 use crate::generated::peer_messages::PeerFrame;
+use crate::memory::{ConnectionLease, MemoryBudget, accept_connection};
 use crate::prelude::*;
 
 /// Most links that other hosts may have open to this host at a time; further connections are dropped.
 const MAX_ACCEPTED_LINKS: usize = 2048;
 
-/// Delay after a failed accept, for example when the process has no free file descriptor.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// URL path of the WebSocket upgrade request.
 const PEER_PATH: &str = "/peer";
 
@@ -66,6 +64,7 @@
         address: &str,
         credentials: PeerCredentials,
         handler: FrameHandler,
+        memory: Arc<MemoryBudget>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
@@ -80,7 +79,7 @@
             runtime: runtime.clone(),
             stop,
         });
-        runtime.spawn(accept_links(listener, Arc::clone(&shared), stopped));
+        runtime.spawn(accept_links(listener, Arc::clone(&shared), memory, stopped));
         Ok(Self { shared, address })
     }
 
@@ -184,38 +183,45 @@
     Ok((socket, peer_identity))
 }
 
-async fn accept_links(listener: TcpListener, shared: Arc<NetworkShared>, mut stopped: watch::Receiver<bool>) {
+async fn accept_links(
+    listener: TcpListener,
+    shared: Arc<NetworkShared>,
+    memory: Arc<MemoryBudget>,
+    mut stopped: watch::Receiver<bool>,
+) {
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
     let accept_limit = Arc::new(Semaphore::new(MAX_ACCEPTED_LINKS));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, lease) = tokio::select! {
+            accepted = accept_connection(&listener, &memory) => accepted,
             _ = stopped.wait_for(|stopped| *stopped) => return,
         };
-        let Ok((stream, address)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
         let Ok(accept_permit) = Arc::clone(&accept_limit).try_acquire_owned() else { continue };
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
-            serve_link(stream, address, &shared).await;
+            tokio::select! {
+                () = serve_link(stream, &lease, &shared) => {}
+                () = lease.wait_yielded() => {}
+            }
             drop(accept_permit);
         });
     }
 }
 
-async fn serve_link(stream: TcpStream, address: SocketAddr, shared: &Arc<NetworkShared>) {
+async fn serve_link(stream: TcpStream, lease: &ConnectionLease, shared: &Arc<NetworkShared>) {
+    let address = stream.peer_addr().map(|address| address.to_string()).unwrap_or_default();
     let _ = stream.set_nodelay(true);
     let handshake = accept_hdr_async_with_config(stream, check_path, Some(link_config()));
     let Ok(Ok(mut socket)) = timeout(HELLO_TIMEOUT, handshake).await else { return };
     let peer_identity = match exchange_hello(&mut socket, shared).await {
         Ok(peer_identity) => peer_identity,
         Err(code) => {
-            record_rejected_hello(shared, &address.to_string(), code);
+            record_rejected_hello(shared, &address, code);
             return;
         }
     };
+    // A link to a host that has proved itself stays.
+    lease.settle();
     let (link_number, queue) = shared.lock_peers().replace_sending_link(&peer_identity.host);
     shared.counters.links_open.inc();
     run_link(socket, &peer_identity, shared, queue, shared.stop.subscribe()).await;
--- a/src/serve/running_host.rs
+++ b/src/serve/running_host.rs
@@ -18,6 +18,7 @@
 use crate::generated::peer_messages::PeerFrame;
 use crate::generated::process_settings::ProcessSettings;
 use crate::http_server::{HttpServer, ServerLimits};
+use crate::memory::{MemoryBudget, MemoryMetrics};
 use crate::operator::operator_handler;
 use crate::orders::demand_table::DemandTable;
 use crate::peer::FrameHandler;
@@ -91,7 +92,9 @@
         };
         let (control, inbox) = create_control(&origin);
         let deferred_handler: Arc<OnceLock<FrameHandler>> = Arc::new(OnceLock::new());
-        let network = start_network(&runtime, settings, &origin, &control, &deferred_handler)?;
+        let memory = MemoryBudget::for_machine(settings.memory_megabytes, settings.connection_limit as usize);
+        MemoryMetrics::register(&registry, &memory).map_err(io::Error::other)?;
+        let network = start_network(&runtime, settings, &origin, &control, &deferred_handler, &memory)?;
         network.counters().register(&registry);
         let control_settings = ControlSettings { origin, seed: draw_seed(&mut generator) };
         start_control(inbox, control_settings, &client, network.clone())?;
@@ -123,20 +126,22 @@
         let weight_releaser = build_weight_releaser(&control, &client);
         let gateway =
             build_gateway_dependencies(runner, &claims, &steps, weight_releaser, &registry, &recorder, &refusals);
-        let caller_server = HttpServer::start(
+        let caller_server = HttpServer::start_with_memory(
             &runtime,
             &settings.caller_address,
             build_caller_limits(settings),
             caller_handler(gateway),
+            Arc::clone(&memory),
         )?;
         let operator_dependencies =
             build_operator_dependencies(settings, &control, &client, registry, recorder, refusals, &dispatch);
         let operator_limits = ServerLimits { requests: MAX_OPERATOR_REQUESTS, ..ServerLimits::default() };
-        let operator_server = HttpServer::start(
+        let operator_server = HttpServer::start_with_memory(
             &runtime,
             &settings.operator_address,
             operator_limits,
             operator_handler(operator_dependencies),
+            memory,
         )?;
         Ok(Self {
             control,
@@ -202,6 +207,7 @@
     origin: &HostIdentity,
     control: &ControlHandle,
     deferred_handler: &Arc<OnceLock<FrameHandler>>,
+    memory: &Arc<MemoryBudget>,
 ) -> io::Result<PeerNetwork> {
     let deferred = Arc::clone(deferred_handler);
     // Frames for parts that have not started yet are dropped. Frames may be lost in any case, for example while a link
@@ -213,7 +219,7 @@
     });
     let handler = control_frame_handler(control.clone(), other_handler);
     let credentials = PeerCredentials { origin: origin.clone(), cluster_token: settings.cluster_token.clone() };
-    PeerNetwork::start(runtime.handle(), &settings.peer_address, credentials, handler)
+    PeerNetwork::start(runtime.handle(), &settings.peer_address, credentials, handler, Arc::clone(memory))
 }
 
 /// Handler of the frames that are not about control state; passes each frame to the parts that may use it.
--- a/tests/integration/peer_frames.rs
+++ b/tests/integration/peer_frames.rs
@@ -8,6 +8,7 @@
 use camphorspring::generated::peer_messages::{
     DomainColumns, GossipAnswer, MemberDigest, MemberRoster, PeerFrame, UsageFlushed, ViewStamp, WithdrawnKeys,
 };
+use camphorspring::memory::MemoryBudget;
 use camphorspring::peer::frame_codec::{check_hello, create_hello, decode_frame, encode_frame, encode_hello};
 use camphorspring::peer::{PeerAddress, PeerCredentials, PeerNetwork};
 use camphorspring::result_code::ResultCode;
@@ -140,9 +141,22 @@
     let handler = Arc::new(move |_: &HostIdentity, _: PeerFrame| {
         count.fetch_add(1, Ordering::Relaxed);
     });
-    let first =
-        PeerNetwork::start(runtime.handle(), "127.0.0.1:0", create_credentials("h1"), Arc::new(|_, _| {})).unwrap();
-    let second = PeerNetwork::start(runtime.handle(), "127.0.0.1:0", create_credentials("h2"), handler).unwrap();
+    let first = PeerNetwork::start(
+        runtime.handle(),
+        "127.0.0.1:0",
+        create_credentials("h1"),
+        Arc::new(|_, _| {}),
+        MemoryBudget::new(1 << 24, 64),
+    )
+    .unwrap();
+    let second = PeerNetwork::start(
+        runtime.handle(),
+        "127.0.0.1:0",
+        create_credentials("h2"),
+        handler,
+        MemoryBudget::new(1 << 24, 64),
+    )
+    .unwrap();
     let flushed = || PeerFrame::UsageFlushed(UsageFlushed { keys: vec!["row".to_owned()] });
     expect_that!(first.sender()("h2", flushed()), eq(false), "no address is known");
     first.set_addresses(&[PeerAddress { host: "h2".to_owned(), address: second.address().to_string() }]);
--- a/tests/integration/support/control_hosts.rs
+++ b/tests/integration/support/control_hosts.rs
@@ -6,6 +6,7 @@
 use camphorspring::control::control_thread::{control_frame_handler, create_control};
 use camphorspring::control::{ControlEvent, ControlHandle, ControlSettings, HostIdentity, start_control};
 use camphorspring::generated::platform_messages::{HostRecord, HostState};
+use camphorspring::memory::MemoryBudget;
 use camphorspring::peer::{PeerCredentials, PeerNetwork};
 use camphorspring::store_client::StoreClient;
 use tokio::runtime::Handle;
@@ -31,7 +32,9 @@
         let (handle, inbox) = create_control(&origin);
         let handler = control_frame_handler(handle.clone(), std::sync::Arc::new(|_, _| {}));
         let credentials = PeerCredentials { origin: origin.clone(), cluster_token: CLUSTER_TOKEN.to_owned() };
-        let network = PeerNetwork::start(runtime, "127.0.0.1:0", credentials, handler).expect("a port is free");
+        let network =
+            PeerNetwork::start(runtime, "127.0.0.1:0", credentials, handler, MemoryBudget::new(1 << 26, 4096))
+                .expect("a port is free");
         let settings = ControlSettings { origin: origin.clone(), seed: incarnation };
         start_control(inbox, settings, &client, network.clone()).expect("threads can be started");
         Self { origin, handle, network, client }
