Count answers that clients do not read, and let their connections yield

What callers saw: nothing yet; looked for after the faults before. 600 clients that asked for large answers and read nothing held 511 of 512 descriptors, so that targets could not be reached, and up to 80 MB of 64 MB.

Cause: bytes to send were in no bound, writes had no time limit in serve-platform, and accepted connections could use the descriptors that requests need for targets.

Change: leases count bytes to send; a connection whose client has not read for a second yields, and is closed after 10 s. Answers are buffered only while half of the budget is free. Accepted connections may use half of the descriptors, less 64.

--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -14,7 +14,7 @@
 use crate::memory::{LeasedBody, accept_connection};
 use crate::prelude::*;
 use crate::relay::connection_pool::ConnectionPool;
-use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
+use crate::relay::read_budget::{BudgetedBody, MAX_PART_BYTES, ReadBudget, accepted_stream};
 use crate::relay::reply::ResponseBody;
 use crate::relay::request_forward::forward_request;
 use crate::relay::target_relay::TARGET_HEADER;
@@ -62,7 +62,7 @@
         let server = Arc::clone(&server);
         tokio::spawn(async move {
             let budget = ReadBudget::default().with_lease(Arc::clone(&lease));
-            let stream = BudgetedStream::new(stream, budget.clone());
+            let stream = accepted_stream(stream, budget.clone());
             let service_lease = Arc::clone(&lease);
             let service = service_fn(move |request: Request<Incoming>| {
                 let (server, lease) = (Arc::clone(&server), Arc::clone(&service_lease));
--- a/src/memory/connection_lease.rs
+++ b/src/memory/connection_lease.rs
@@ -1,12 +1,13 @@
 //! Leases of connections: accepts connections, and counts the bytes of heads that have not ended.
 
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::lease_table::YieldRule;
 use super::{MemoryBudget, MemoryExhausted, MemoryLease};
 use crate::prelude::*;
 
@@ -25,9 +26,25 @@
     lease: MemoryLease,
     /// Bytes that have arrived since the program took the last part of a message.
     buffered: AtomicUsize,
+    /// Bytes that wait for the other end to read.
+    unsent: AtomicUsize,
+    /// Whether the other end does not read at present.
+    is_blocked: AtomicBool,
+    /// Whether a complete request has arrived, and its response has not been handed over whole.
+    is_busy: AtomicBool,
 }
 
 impl ConnectionLease {
+    fn new(lease: MemoryLease) -> Self {
+        Self {
+            lease,
+            buffered: AtomicUsize::new(0),
+            unsent: AtomicUsize::new(0),
+            is_blocked: AtomicBool::new(false),
+            is_busy: AtomicBool::new(false),
+        }
+    }
+
     /// Counts bytes that were read from the connection.
     ///
     /// # Errors
@@ -53,8 +70,37 @@
 
     /// A complete request has arrived: the connection stays until it is answered.
     pub fn settle(&self) {
+        self.set_busy(true);
+    }
+
+    fn set_busy(&self, is_busy: bool) {
+        self.is_busy.store(is_busy, Ordering::Release);
+        if !self.is_blocked.load(Ordering::Acquire) {
+            self.apply_rule();
+        }
+    }
+
+    fn apply_rule(&self) {
+        let is_busy = self.is_busy.load(Ordering::Acquire);
         // A connection that has yielded ends, whatever has arrived on it.
-        let _ = self.lease.settle();
+        let _ = self.lease.set_rule(if is_busy { YieldRule::Never } else { YieldRule::Always });
+    }
+
+    /// Records the outcome of a write, and how many bytes are left to write. A connection whose other end does not read yields
+    /// even while its request is answered.
+    pub fn record_write(&self, is_blocked: bool, unsent: usize) {
+        let before = self.unsent.swap(unsent, Ordering::AcqRel);
+        if unsent > before {
+            self.lease.grow_by_held(unsent - before);
+        } else if before > unsent {
+            self.lease.shrink(before - unsent);
+        }
+        let was_blocked = self.is_blocked.swap(is_blocked, Ordering::AcqRel);
+        if is_blocked && (!was_blocked || unsent < before) {
+            let _ = self.lease.set_rule(YieldRule::WhenStalled);
+        } else if was_blocked && !is_blocked {
+            self.apply_rule();
+        }
     }
 
     /// Whether a line on clients that do not behave may be logged now.
@@ -78,7 +124,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 if let Ok(lease) = budget.lease_connection(CONNECTION_BYTES).await {
-                    return (stream, Arc::new(ConnectionLease { lease, buffered: AtomicUsize::new(0) }));
+                    return (stream, Arc::new(ConnectionLease::new(lease)));
                 }
             }
             Err(error) => {
@@ -109,7 +155,7 @@
 
 impl<B> Drop for LeasedBody<B> {
     fn drop(&mut self) {
-        self.lease.lease.release();
+        self.lease.set_busy(false);
     }
 }
 
--- a/src/memory/lease_table.rs
+++ b/src/memory/lease_table.rs
@@ -8,6 +8,9 @@
 /// Part of the budget that only small leases may use: one divided by this number.
 const RESERVED_SHARE: usize = 8;
 
+/// Part of the budget up to which bytes are granted that can be done without: one divided by this number.
+const OPTIONAL_SHARE: usize = 2;
+
 /// Size up to which a lease is small, in bytes.
 const SMALL_LEASE_BYTES: usize = 128 * 1024;
 
@@ -26,13 +29,23 @@
     Body,
 }
 
+/// When a lease yields to another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum YieldRule {
+    /// What the lease is for is complete, and has to be carried out.
+    Never,
+    /// Its holder waits for the other end, which makes progress or not.
+    WhenStalled,
+    /// What the lease is for is not complete.
+    Always,
+}
+
 #[derive(Debug)]
 struct LeaseRecord {
     id: LeaseId,
     kind: LeaseKind,
     bytes: usize,
-    /// Whether the lease yields to others: what it is for is not complete.
-    is_yielding: bool,
+    rule: YieldRule,
     has_yielded: bool,
     progress_at: BootTime,
     /// Bytes that have arrived since the last progress.
@@ -140,7 +153,7 @@
             id,
             kind,
             bytes: 0,
-            is_yielding: true,
+            rule: YieldRule::Always,
             has_yielded: false,
             progress_at: now,
             progress_bytes: 0,
@@ -166,6 +179,29 @@
         Some(self.end_lease(position))
     }
 
+    /// Adds bytes to a lease that can do without them, while enough of the budget is free; returns whether it did.
+    pub fn grow_optionally(&mut self, id: LeaseId, bytes: usize) -> bool {
+        let position = self.position(id).filter(|_| self.used + self.kept + bytes <= self.max_bytes / OPTIONAL_SHARE);
+        let Some(position) = position else { return false };
+        self.used += bytes;
+        self.leases[position].bytes += bytes;
+        true
+    }
+
+    /// Adds bytes to a lease that holds them already. Others yield if there is no room; if none does, the sum exceeds the budget, and
+    /// nothing else is granted until it does not.
+    pub fn grow_by_held(&mut self, id: LeaseId, bytes: usize, now: BootTime) -> LeaseDecision {
+        let mut decision = self.grow(id, bytes, now);
+        if !decision.is_granted
+            && let Some(position) = self.position(id)
+        {
+            self.used += bytes;
+            self.leases[position].bytes += bytes;
+            decision.is_granted = true;
+        }
+        decision
+    }
+
     /// Adds bytes to a lease, to which others yield if there is no room.
     pub fn grow(&mut self, id: LeaseId, bytes: usize, now: BootTime) -> LeaseDecision {
         let mut yielded = Vec::new();
@@ -207,11 +243,11 @@
         }
     }
 
-    /// Sets whether a lease yields to others; returns false when it has yielded already.
-    pub fn set_yielding(&mut self, id: LeaseId, is_yielding: bool, now: BootTime) -> bool {
+    /// Sets when a lease yields to others; returns false when it has yielded already.
+    pub fn set_rule(&mut self, id: LeaseId, rule: YieldRule, now: BootTime) -> bool {
         let Some(position) = self.position(id) else { return false };
         let lease = &mut self.leases[position];
-        lease.is_yielding = is_yielding;
+        lease.rule = rule;
         lease.progress_at = now;
         lease.progress_bytes = 0;
         true
@@ -242,11 +278,12 @@
     fn choose_yielding(&self, id: LeaseId, is_small: bool, kind: Option<LeaseKind>, now: BootTime) -> Option<usize> {
         let yields = |lease: &LeaseRecord| {
             let has_stalled = now.saturating_sub(lease.progress_at) >= STALL_TIME;
-            lease.id != id
-                && lease.is_yielding
-                && lease.bytes > 0
-                && kind.is_none_or(|kind| kind == lease.kind)
-                && (has_stalled || (is_small && lease.bytes <= SMALL_LEASE_BYTES))
+            let is_free = match lease.rule {
+                YieldRule::Never => false,
+                YieldRule::WhenStalled => has_stalled,
+                YieldRule::Always => has_stalled || (is_small && lease.bytes <= SMALL_LEASE_BYTES),
+            };
+            is_free && lease.id != id && lease.bytes > 0 && kind.is_none_or(|kind| kind == lease.kind)
         };
         let candidates = self.leases.iter().enumerate().filter(|(_, lease)| yields(lease));
         candidates.max_by_key(|(_, lease)| lease.waste(now)).map(|(position, _)| position)
@@ -254,7 +291,7 @@
 
     fn end_lease(&mut self, position: usize) -> LeaseId {
         let lease = &mut self.leases[position];
-        lease.is_yielding = false;
+        lease.rule = YieldRule::Never;
         lease.has_yielded = true;
         match lease.kind {
             LeaseKind::Body => self.used -= std::mem::take(&mut lease.bytes),
--- a/src/memory/memory_budget.rs
+++ b/src/memory/memory_budget.rs
@@ -7,15 +7,15 @@
 use rustix::process::{Resource, getrlimit};
 use tokio::sync::Notify;
 
-use super::lease_table::{ConnectionRoom, LeaseId, LeaseKind, LeaseTable};
+use super::lease_table::{ConnectionRoom, LeaseId, LeaseKind, LeaseTable, YieldRule};
 use crate::prelude::*;
 
 /// Part of the machine's memory that the budget gets: one divided by this number. The rest is for the program itself, for
 /// the jobs that it runs, and for what the allocator does not give back.
 const MEMORY_SHARE: usize = 2;
 
-/// Part of the descriptors that connections from outside may use, in quarters; the rest is for those to targets and the store.
-const DESCRIPTOR_QUARTERS: u64 = 3;
+/// Descriptors for files, for listeners and for connections to the store and to peers.
+const OWN_DESCRIPTORS: u64 = 64;
 
 /// Most connections on a system without a limit of descriptors.
 const MAX_CONNECTIONS: u64 = 65_536;
@@ -82,8 +82,9 @@
     pub fn for_machine(memory_megabytes: Option<u32>, max_connections: usize) -> Arc<Self> {
         let setting = memory_megabytes.map(|megabytes| megabytes as usize * 1024 * 1024);
         let bytes = setting.or_else(machine_memory).unwrap_or(DEFAULT_MEMORY_BYTES) / MEMORY_SHARE;
+        // Each connection may need another one to a target.
         let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(MAX_CONNECTIONS).min(MAX_CONNECTIONS);
-        let connections = usize::try_from(descriptors * DESCRIPTOR_QUARTERS / 4).unwrap_or(usize::MAX);
+        let connections = usize::try_from(descriptors.saturating_sub(OWN_DESCRIPTORS) / 2).unwrap_or(usize::MAX);
         let connections = connections.min(max_connections);
         log::info!(bytes = bytes, connections = connections; "memory_budget");
         Self::new(bytes, connections)
@@ -268,6 +269,19 @@
         if decision.is_granted { Ok(()) } else { Err(self.budget.record_refusal()) }
     }
 
+    /// Takes more bytes if the budget has enough room for what can be done without; returns whether it did.
+    #[must_use]
+    pub fn grow_optionally(&self, bytes: usize) -> bool {
+        self.budget.lock().table.grow_optionally(self.id, bytes)
+    }
+
+    /// Counts bytes that the holder has already; others yield if the budget has no room.
+    pub fn grow_by_held(&self, bytes: usize) {
+        let mut state = self.budget.lock();
+        let decision = state.table.grow_by_held(self.id, bytes, boot_time());
+        self.budget.end_leases(&state, &decision.yielded);
+    }
+
     /// Gives bytes back.
     pub fn shrink(&self, bytes: usize) {
         self.budget.lock().table.shrink(self.id, bytes);
@@ -281,12 +295,12 @@
     /// From now on the lease does not yield; returns false when it has yielded before.
     #[must_use]
     pub fn settle(&self) -> bool {
-        self.budget.lock().table.set_yielding(self.id, false, boot_time())
+        self.set_rule(YieldRule::Never)
     }
 
-    /// From now on the lease yields again, as one that has just made progress.
-    pub fn release(&self) {
-        self.budget.lock().table.set_yielding(self.id, true, boot_time());
+    /// Sets when the lease yields, as one that has just made progress; returns false when it has yielded before.
+    pub(super) fn set_rule(&self, rule: YieldRule) -> bool {
+        self.budget.lock().table.set_rule(self.id, rule, boot_time())
     }
 
     /// Budget that the lease belongs to.
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -21,7 +21,7 @@
 use crate::entry::host_context::HostContext;
 use crate::memory::{ConnectionLease, LeasedBody, MemoryBudget, accept_connection};
 use crate::prelude::*;
-use crate::relay::read_budget::{BudgetedBody, BudgetedStream, MAX_PART_BYTES, ReadBudget};
+use crate::relay::read_budget::{BudgetedBody, MAX_PART_BYTES, ReadBudget, accepted_stream};
 use crate::relay::reply::{ResponseBody, code_reply, text_reply};
 
 /// Limit of a request head before a configuration is known, in bytes.
@@ -107,7 +107,7 @@
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
     let max_part_bytes = head_bytes.saturating_add(MAX_REQUEST_LINE_BYTES);
     let budget = ReadBudget::for_parts(max_part_bytes.max(MAX_PART_BYTES)).with_lease(Arc::clone(&lease));
-    let stream = BudgetedStream::new(stream, budget.clone());
+    let stream = accepted_stream(stream, budget.clone());
     let service_lease = Arc::clone(&lease);
     let service = service_fn(move |request: Request<Incoming>| {
         busy.get_or_init(|| BusyConnection::new(&context));
@@ -183,7 +183,7 @@
         let handler = Arc::clone(&handler);
         tokio::spawn(async move {
             let budget = ReadBudget::default().with_lease(Arc::clone(&lease));
-            let stream = BudgetedStream::new(stream, budget.clone());
+            let stream = accepted_stream(stream, budget.clone());
             let service = service_fn(move |_: Request<Incoming>| {
                 budget.renew();
                 let (status, body) = handler();
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -19,13 +19,14 @@
 use crate::fleet::fleet_view::{FleetView, TargetEntry};
 use crate::fleet::service_map::{RouteKind, RouteRule};
 use crate::fleet::target_load::LoadTable;
+use crate::memory::MemoryLease;
 use crate::policy::shard_map::rendezvous_hash;
 use crate::prelude::*;
 use crate::relay::attempt_plan::{ChoiceContext, choose_target, hedge_delay};
 use crate::relay::connection_pool::{Exchange, ExchangeError, PooledConnection};
 use crate::relay::crash_reports::{RequestAdmission, UnansweredEnd, admit_request, report_unanswered};
 use crate::relay::event_reader::EventReader;
-use crate::relay::read_budget::BudgetedBody;
+use crate::relay::read_budget::{BudgetedBody, MAX_PART_BYTES};
 use crate::relay::reply::{BodyError, ResponseBody, code_reply, whole_body};
 use crate::relay::stream_origins::StreamOrigin;
 use crate::relay::target_codec::{SendOptions, TargetHead, TargetRequest};
@@ -38,6 +39,9 @@
 /// Size up to which a response body is read whole before it is forwarded; a larger one is streamed.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// Memory for the connection of a target while a response is forwarded as it arrives, in bytes.
+const STREAM_BUFFER_BYTES: usize = MAX_PART_BYTES;
+
 /// Maximum number of attempts of a request that end without a run, because they were not sent or were refused.
 const MAX_REFUSALS: usize = 6;
 
@@ -471,7 +475,10 @@
         .get(CONTENT_TYPE)
         .is_some_and(|content_type| content_type.as_bytes().starts_with(b"text/event-stream"));
     let mut buffer = BytesMut::new();
-    while !is_stream && buffer.len() <= MAX_BUFFERED_BYTES {
+    let lease = context.memory.lease_body();
+    // A lease that has yielded would grow no more.
+    let mut may_buffer = !is_stream && lease.settle();
+    while may_buffer && buffer.len() <= MAX_BUFFERED_BYTES {
         match body.frame().await {
             None => {
                 context.pool.give_back(connection, target_head.idle_limit);
@@ -480,7 +487,11 @@
                 record_answer(context, relay);
                 return buffered_outcome(head, buffer.freeze());
             }
-            Some(Ok(frame)) => buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Some(Ok(frame)) => {
+                let data: &[u8] = frame.data_ref().map_or(&[], |data| data);
+                may_buffer = lease.grow_optionally(data.len());
+                buffer.extend_from_slice(data);
+            }
             Some(Err(_)) => {
                 record_target_failure(context, relay, target, ExchangeError::Broken);
                 let last_event = relay.last_event_before();
@@ -510,12 +521,21 @@
         idle_limit,
         body,
         running_request,
+        lease: stream_lease(lease, buffer.len()),
     };
     let buffered = futures_util::stream::iter([Ok(Frame::data(buffer.freeze()))]);
     let stream = buffered.chain(futures_util::stream::unfold(streamed, next_frame));
     AttemptOutcome::Answered(build_response(head, BodyExt::boxed(StreamBody::new(FrameStream(Box::pin(stream))))))
 }
 
+/// Turns the lease of a response of which this much was buffered into one for the buffers of its connection. What was buffered
+/// is counted as unsent by the connection of the caller.
+fn stream_lease(lease: MemoryLease, buffered: usize) -> MemoryLease {
+    lease.shrink(buffered);
+    lease.grow_by_held(STREAM_BUFFER_BYTES);
+    lease
+}
+
 fn buffered_outcome(head: http::response::Parts, body: Bytes) -> AttemptOutcome {
     let is_failure = head.status.is_server_error();
     let response = build_response(head, whole_body(body));
@@ -545,6 +565,8 @@
     ends_at: Option<tokio::time::Instant>,
     #[expect(dead_code, reason = "counts the request until the stream ends")]
     running_request: RunningRequest,
+    #[expect(dead_code, reason = "counts the memory until the stream ends")]
+    lease: MemoryLease,
 }
 
 impl StreamedResponse {
--- a/src/relay/read_budget.rs
+++ b/src/relay/read_budget.rs
@@ -14,6 +14,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio_io_timeout::TimeoutStream;
 
 use crate::memory::{ConnectionLease, MemoryExhausted};
 use crate::prelude::*;
@@ -62,6 +63,17 @@
         }
     }
 
+    /// Tells the lease what became of a write of this many bytes.
+    fn record_write(&self, written: &Poll<std::io::Result<usize>>, bytes: usize) {
+        let Some(lease) = &self.lease else { return };
+        match written {
+            Poll::Pending => lease.record_write(true, bytes),
+            Poll::Ready(Ok(written)) => lease.record_write(false, bytes.saturating_sub(*written)),
+            // The connection ends.
+            Poll::Ready(Err(_)) => {}
+        }
+    }
+
     /// Takes bytes out of the budget; returns false when it does not have as many.
     fn spend(&self, bytes: usize) -> bool {
         let left = self.left.load(Ordering::Relaxed).checked_sub(bytes);
@@ -115,7 +127,9 @@
 
 impl AsyncWrite for BudgetedStream {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.budget.record_write(&written, bytes.len());
+        written
     }
 
     fn poll_write_vectored(
@@ -123,7 +137,9 @@
         context: &mut Context<'_>,
         buffers: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.budget.record_write(&written, buffers.iter().map(|buffer| buffer.len()).sum());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -139,6 +155,17 @@
     }
 }
 
+/// Socket that was accepted, whose writes fail when the other end does not read for [`SLOW_READER_LIMIT`].
+pub type AcceptedStream = Pin<Box<TimeoutStream<BudgetedStream>>>;
+
+/// Wraps a socket that was accepted.
+#[must_use]
+pub fn accepted_stream(stream: TcpStream, budget: ReadBudget) -> AcceptedStream {
+    let mut stream = TimeoutStream::new(BudgetedStream::new(stream, budget));
+    stream.set_write_timeout(Some(SLOW_READER_LIMIT));
+    Box::pin(stream)
+}
+
 /// Body that renews the budget of its connection with each frame.
 #[derive(Debug)]
 pub struct BudgetedBody {
--- a/tests/crowds/crowd_host.rs
+++ b/tests/crowds/crowd_host.rs
@@ -84,6 +84,18 @@
     String::from_utf8_lossy(&answer).lines().next().unwrap_or_default().to_owned()
 }
 
+/// Number of bytes of the answer to a request that closes its connection, with the head.
+pub fn count_answer_bytes(address: SocketAddr, request: &[u8]) -> usize {
+    let mut answer = Vec::new();
+    let exchanged = TcpStream::connect(address).and_then(|mut stream| {
+        stream.set_read_timeout(Some(REQUEST_TIMEOUT))?;
+        stream.write_all(request)?;
+        stream.read_to_end(&mut answer)
+    });
+    // A connection that breaks shows in the number.
+    exchanged.map_or(answer.len(), |_| answer.len())
+}
+
 /// Waits until a condition holds; panics after a generous time.
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let deadline = Instant::now() + WAIT_TIMEOUT;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -10,6 +10,7 @@
 #[path = "../../platform/stand_ins/mod.rs"]
 #[allow(dead_code, reason = "the soak uses the rest")]
 mod stand_ins;
+mod unread_answers;
 mod whole_requests;
 
 use std::net::SocketAddr;
--- a/tests/integration/memory/leases.rs
+++ b/tests/integration/memory/leases.rs
@@ -1,6 +1,6 @@
 //! Which lease yields to another one when a budget is used up.
 
-use camphorspring::memory::lease_table::{ConnectionRoom, LeaseKind, LeaseTable};
+use camphorspring::memory::lease_table::{ConnectionRoom, LeaseKind, LeaseTable, YieldRule};
 use googletest::prelude::*;
 
 use crate::fleet::builders::at;
@@ -37,7 +37,11 @@
     table.record_progress(first, 16 * KIB, at(900));
     let decision = table.grow(third, 400 * KIB, at(1_000));
     expect_that!((decision.is_granted, decision.yielded), eq(&(true, vec![second])));
-    expect_that!(table.set_yielding(second, false, at(1_000)), eq(false), "a lease that has yielded does not settle");
+    expect_that!(
+        table.set_rule(second, YieldRule::Never, at(1_000)),
+        eq(false),
+        "a lease that has yielded does not settle"
+    );
     expect_that!(table.grow(second, 1, at(1_000)).is_granted, eq(false));
 }
 
@@ -60,7 +64,7 @@
     let (settled, large, small) =
         (table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)));
     table.grow(settled, 600 * KIB, at(0));
-    table.set_yielding(settled, false, at(0));
+    table.set_rule(settled, YieldRule::Never, at(0));
     expect_that!(table.keep(200 * KIB), eq(true));
     expect_that!(table.keep(900 * KIB), eq(false), "a further job waits");
     expect_that!(table.grow(large, 200 * KIB, at(60_000)).is_granted, eq(false));
@@ -81,7 +85,7 @@
         table.grow(id, 16 * KIB, at(time));
         ids.push(id);
     }
-    table.set_yielding(ids[0], false, at(4));
+    table.set_rule(ids[0], YieldRule::Never, at(4));
     let room = table.make_room_for_connection(at(5));
     expect_that!(room, eq(ConnectionRoom::Ending(Some(ids[1]))), "the one that has been idle longest");
     expect_that!(
@@ -94,7 +98,43 @@
     expect_that!((table.connections(), table.used()), eq((3, 48 * KIB)));
     let last = table.add(LeaseKind::Connection, at(6));
     for id in [ids[2], ids[3], last] {
-        table.set_yielding(id, false, at(6));
+        table.set_rule(id, YieldRule::Never, at(6));
     }
     expect_that!(table.make_room_for_connection(at(60_000)), eq(ConnectionRoom::Refused), "all have requests");
 }
+
+/// Guards against clients that never read their answers and keep others out, and against the end of one that reads.
+#[gtest]
+fn connections_blocked_by_their_client_yield_once_stalled() {
+    let mut table = LeaseTable::new(1024 * KIB, 2);
+    let (reading, blocked) = (table.add(LeaseKind::Connection, at(0)), table.add(LeaseKind::Connection, at(0)));
+    for id in [reading, blocked] {
+        table.grow_by_held(id, 256 * KIB, at(0));
+        table.set_rule(id, YieldRule::WhenStalled, at(0));
+    }
+    table.set_rule(reading, YieldRule::WhenStalled, at(900));
+    expect_that!(table.make_room_for_connection(at(999)), eq(ConnectionRoom::Refused));
+    expect_that!(table.make_room_for_connection(at(1_000)), eq(ConnectionRoom::Ending(Some(blocked))));
+}
+
+/// Guards against memory that is held without being counted: nothing else is granted beyond the budget.
+#[gtest]
+fn held_bytes_count_beyond_the_budget() {
+    let mut table = table();
+    let (holder, other) = (table.add(LeaseKind::Body, at(0)), table.add(LeaseKind::Body, at(0)));
+    table.set_rule(holder, YieldRule::Never, at(0));
+    expect_that!(table.grow_by_held(holder, 2048 * KIB, at(0)).is_granted, eq(true));
+    expect_that!((table.used(), table.grow(other, 1, at(0)).is_granted), eq((2048 * KIB, false)));
+    table.remove(holder);
+    expect_that!(table.grow(other, 1, at(0)).is_granted, eq(true));
+}
+
+/// Guards against buffers that only save a retry and take the memory of requests.
+#[gtest]
+fn optional_bytes_leave_half_of_the_budget() {
+    let mut table = table();
+    let lease = table.add(LeaseKind::Body, at(0));
+    expect_that!(table.grow_optionally(lease, 512 * KIB), eq(true));
+    expect_that!(table.grow_optionally(lease, 1), eq(false));
+    expect_that!(table.grow(lease, 384 * KIB, at(0)).is_granted, eq(true));
+}
