--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -67,9 +67,7 @@
             let service = service_fn(move |request: Request<Incoming>| {
                 let (server, lease) = (Arc::clone(&server), Arc::clone(&service_lease));
                 budget.renew();
-                if request.body().is_end_stream() {
-                    lease.settle();
-                }
+                lease.begin_request(!request.body().is_end_stream());
                 let mut request = request.map(|body| BudgetedBody::new(body, budget.clone()));
                 request.extensions_mut().insert(Arc::clone(&lease));
                 async move {
--- a/src/http_server/connection.rs
+++ b/src/http_server/connection.rs
@@ -4,7 +4,7 @@
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -70,6 +70,7 @@
     let (service_state, service_lease) = (Arc::clone(state), Arc::clone(lease));
     let service = service_fn(move |request: Request<Incoming>| {
         budget.renew();
+        service_lease.begin_request(!request.body().is_end_stream());
         let request = request.map(|body| BudgetedBody::new(body, budget.clone()));
         handle_request(request, Arc::clone(&service_state), Arc::clone(&service_lease))
     });
--- a/src/jobs/job_calls.rs
+++ b/src/jobs/job_calls.rs
@@ -247,7 +247,8 @@
     }
     // The whole job is read for the body of one item.
     let lease = context.memory.lease_body();
-    if lease.grow(usize::try_from(header.run_bytes).unwrap_or(usize::MAX)).is_err() {
+    let run_bytes = usize::try_from(header.run_bytes).unwrap_or(usize::MAX);
+    if lease.grow(run_bytes).is_err() || !lease.settle() {
         return code_reply(ResultCode::HostBusy, Some(STORE_RETRY_AFTER));
     }
     let Ok(spec) = read_spec(&context.store, &access.job).await else {
--- a/src/memory/connection_lease.rs
+++ b/src/memory/connection_lease.rs
@@ -30,7 +30,9 @@
     unsent: AtomicUsize,
     /// Whether the other end does not read at present.
     is_blocked: AtomicBool,
-    /// Whether a complete request has arrived, and its response has not been handed over whole.
+    /// Whether the head of a request has arrived, and its response has not been handed over whole.
+    has_request: AtomicBool,
+    /// Whether that request is complete.
     is_busy: AtomicBool,
 }
 
@@ -41,17 +43,21 @@
             buffered: AtomicUsize::new(0),
             unsent: AtomicUsize::new(0),
             is_blocked: AtomicBool::new(false),
+            has_request: AtomicBool::new(false),
             is_busy: AtomicBool::new(false),
         }
     }
 
-    /// Counts bytes that were read from the connection.
+    /// Counts bytes that were read from the connection. Those of a body are counted by the lease of the body.
     ///
     /// # Errors
     ///
     /// There is no memory for a head of this size.
     pub fn record_read(&self, bytes: usize) -> Result<(), MemoryExhausted> {
         self.lease.record_progress(bytes);
+        if self.has_request.load(Ordering::Acquire) {
+            return Ok(());
+        }
         let before = self.buffered.fetch_add(bytes, Ordering::AcqRel);
         let excess = |length: usize| length.saturating_sub(READ_BUFFER_BYTES);
         match excess(before + bytes) - excess(before) {
@@ -68,11 +74,24 @@
         }
     }
 
+    /// The head of a request has arrived.
+    pub fn begin_request(&self, has_body: bool) {
+        self.has_request.store(true, Ordering::Release);
+        if !has_body {
+            self.settle();
+        }
+    }
+
     /// A complete request has arrived: the connection stays until it is answered.
     pub fn settle(&self) {
         self.set_busy(true);
     }
 
+    fn end_request(&self) {
+        self.has_request.store(false, Ordering::Release);
+        self.set_busy(false);
+    }
+
     fn set_busy(&self, is_busy: bool) {
         self.is_busy.store(is_busy, Ordering::Release);
         if !self.is_blocked.load(Ordering::Acquire) {
@@ -155,7 +174,7 @@
 
 impl<B> Drop for LeasedBody<B> {
     fn drop(&mut self) {
-        self.lease.set_busy(false);
+        self.lease.end_request();
     }
 }
 
--- a/src/memory/received_body.rs
+++ b/src/memory/received_body.rs
@@ -23,6 +23,9 @@
 /// Size of the first allocation for a body in bytes, which holds most requests.
 const FIRST_BYTES: usize = 2 * 1024;
 
+/// Bytes of a body after which its progress is recorded; a chunk may have one byte.
+const PROGRESS_INTERVAL_BYTES: usize = 4 * 1024;
+
 /// Size up to which a body is copied into one buffer to be decoded, which is faster.
 const MAX_JOINED_BYTES: usize = 1024 * 1024;
 
@@ -225,6 +228,7 @@
     B: Body<Data = Bytes> + Unpin,
 {
     let mut total = 0;
+    let mut unrecorded = 0;
     let mut segment = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ReceiveError::Broken)?;
@@ -233,7 +237,10 @@
         if total > max_bytes {
             return Err(ReceiveError::TooLarge);
         }
-        lease.record_progress(data.len());
+        unrecorded += data.len();
+        if unrecorded >= PROGRESS_INTERVAL_BYTES {
+            lease.record_progress(std::mem::take(&mut unrecorded));
+        }
         while !data.is_empty() {
             if segment.len() == segment.capacity() {
                 make_space(lease, &mut segment)?;
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -113,9 +113,7 @@
         busy.get_or_init(|| BusyConnection::new(&context));
         budget.renew();
         let lease = Arc::clone(&service_lease);
-        if request.body().is_end_stream() {
-            lease.settle();
-        }
+        lease.begin_request(!request.body().is_end_stream());
         let is_head_too_large = head_size(&request) > head_bytes;
         let mut request = request.map(|body| BudgetedBody::new(body, budget.clone()));
         request.extensions_mut().insert(Arc::clone(&lease));
