Ask a target whose connections broke which start it is before an output goes on there

Cause: the entry of a target was trusted although all connections to it had just ended, until its new entry arrived.

Streams and items go there only on a connection on which it has said that it is the start of the entry. The limit of heads follows the present configuration.

The new tests fleet::restarts and relay::starts have the decision and the question; the mechanism does not exist before.

--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -9,7 +9,7 @@
 use crate::duties::leader_lease::DUTY_TABLE;
 use crate::duties::leader_tasks::LeaderTasks;
 use crate::entry::host_context::HostContext;
-use crate::fleet::fleet_state::{FleetState, RowDecoder};
+use crate::fleet::fleet_state::{FleetChange, FleetState, RowDecoder};
 use crate::fleet::fleet_view::FleetView;
 use crate::fleet::member_row::{
     MEMBER_RENEWAL, MEMBER_TABLE, MemberRow, RunningCount, host_capacity, member_partition, member_parts,
@@ -145,6 +145,7 @@
             let now = boot_time();
             outage_log.record_event(&event, now);
             target_context.crashes.observe_targets(&event, tables.decode_target, now);
+            observe_restarts(&target_context, &event, tables.decode_target, now);
             let is_changed =
                 target_publisher.apply_change(|state| state.apply_targets(&event, tables.decode_target, now));
             if is_changed {
@@ -320,3 +321,18 @@
     };
     limits(one) == limits(other)
 }
+
+/// Tells the watch of restarts which entries of targets were written anew.
+fn observe_restarts(context: &HostContext, event: &WatchEvent, decode: RowDecoder, now: BootTime) {
+    let (WatchEvent::Loaded(rows) | WatchEvent::Changed(rows)) = event else { return };
+    if context.with_restarts(|restarts| restarts.is_empty()) {
+        return;
+    }
+    for row in rows {
+        match decode(row, now) {
+            FleetChange::Target(entry) => context.with_restarts(|restarts| restarts.record_renewal(&entry.id, now)),
+            FleetChange::TargetRemoved(id) => context.with_restarts(|restarts| restarts.record_removal(&id)),
+            _ => {}
+        }
+    }
+}
--- a/src/entry/host_context.rs
+++ b/src/entry/host_context.rs
@@ -12,6 +12,7 @@
 use crate::entry::settings::InstallationSettings;
 use crate::fleet::fleet_state::LeavingTarget;
 use crate::fleet::fleet_view::{FleetView, TargetEntry};
+use crate::fleet::restart_watch::RestartWatch;
 use crate::fleet::target_limit::LimitNotice;
 use crate::fleet::target_load::LoadTable;
 use crate::jobs::job_cache::JobCache;
@@ -58,6 +59,8 @@
     pub usage: UsageCounter,
     /// Origins of the streams that began at this host.
     pub stream_origins: StreamOrigins,
+    /// Targets that may have started again since their entry was written.
+    pub restarts: Mutex<RestartWatch>,
     /// Requests under which targets crash, as all hosts report them.
     pub crashes: CrashReports,
     /// Metrics, served at the metrics address if the settings have one.
@@ -97,6 +100,11 @@
         let mut loads = self.loads.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         work(&mut loads)
     }
+
+    /// Runs `work` on the targets that may have started again, under their lock.
+    pub fn with_restarts<T>(&self, work: impl FnOnce(&mut RestartWatch) -> T) -> T {
+        work(&mut self.restarts.lock().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
 }
 
 impl HostContext {
--- a/src/entry/host_start.rs
+++ b/src/entry/host_start.rs
@@ -112,6 +112,7 @@
         board: JobCache::new(),
         usage: UsageCounter::new(Duration::from_secs_f64(dependencies.settings.usage_window_seconds)),
         stream_origins: StreamOrigins::default(),
+        restarts: Mutex::default(),
         crashes: CrashReports::default(),
         metrics: HostMetrics::new().map_err(std::io::Error::other)?,
         target_codec: dependencies.target_codec,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod fleet_state;
 pub mod fleet_view;
 pub mod member_row;
+pub mod restart_watch;
 pub mod service_map;
 pub mod share_table;
 pub mod target_limit;
--- a/src/jobs/item_run.rs
+++ b/src/jobs/item_run.rs
@@ -18,7 +18,7 @@
 use crate::relay::connection_pool::{Exchange, read_body};
 use crate::relay::event_reader::{EventReader, StreamEvent};
 use crate::relay::target_codec::{SendOptions, TargetRequest};
-use crate::relay::target_relay::{SendRule, record_unreachable, send_to_target};
+use crate::relay::target_relay::{SendRule, record_break, record_unreachable, send_to_target};
 use crate::relay::target_response::ResponseKind;
 
 /// Time for connecting and reading the prompt, in which the response may take longer than a pause between two events.
@@ -178,7 +178,7 @@
             return (RunOutcome::Impossible, 0);
         };
         let head_timeout = self.pause_limit + RESPONSE_HEAD_MARGIN;
-        let sent = send_to_target(&self.context, &self.target, request, SendRule::REPEATED);
+        let sent = send_to_target(&self.context, &self.target, request, SendRule::ITEM);
         let sent = tokio::time::timeout(head_timeout, sent).await;
         let exchange = match sent {
             Ok(Ok(exchange)) => exchange,
@@ -308,6 +308,7 @@
     /// Records that a stream over a link of this host ended early.
     fn record_lost_link(&self, is_direct: bool, last_event_at: BootTime, reason: &str) {
         if is_direct {
+            record_break(&self.context, &self.target);
             record_unreachable(&self.context, &self.target, last_event_at, reason);
         }
     }
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -24,9 +24,6 @@
 use crate::relay::read_budget::{BudgetedBody, MAX_PART_BYTES, ReadBudget, accepted_stream};
 use crate::relay::reply::{ResponseBody, code_reply, text_reply};
 
-/// Limit of a request head before a configuration is known, in bytes.
-const DEFAULT_HEAD_BYTES: usize = HEADER_LIMIT;
-
 /// Most bytes of a request line, which the limit of a head does not count.
 const MAX_REQUEST_LINE_BYTES: usize = 8 * 1024;
 
@@ -104,8 +101,8 @@
     let busy = OnceLock::new();
     let limits = context.view().services.as_ref().map(|services| services.limits);
     let idle_time = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time);
-    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
-    let max_part_bytes = head_bytes.saturating_add(MAX_REQUEST_LINE_BYTES);
+    let max_part_bytes =
+        limits.map_or(MAX_PART_BYTES, |limits| limits.head_bytes.saturating_add(MAX_REQUEST_LINE_BYTES));
     let budget = ReadBudget::for_parts(max_part_bytes.max(MAX_PART_BYTES)).with_lease(Arc::clone(&lease));
     let stream = accepted_stream(stream, budget.clone());
     let service_lease = Arc::clone(&lease);
@@ -114,7 +111,8 @@
         budget.renew();
         let lease = Arc::clone(&service_lease);
         lease.begin_request(!request.body().is_end_stream());
-        let is_head_too_large = head_size(&request) > head_bytes;
+        let services = context.view().services.clone();
+        let is_head_too_large = services.is_some_and(|services| head_size(&request) > services.limits.head_bytes);
         let mut request = request.map(|body| BudgetedBody::new(body, budget.clone()));
         request.extensions_mut().insert(Arc::clone(&lease));
         let response = (!is_head_too_large).then(|| handler(request));
@@ -188,7 +186,7 @@
                 async move { Ok::<_, Infallible>(text_reply(status, bytes::Bytes::from(body))) }
             });
             let mut builder = http1::Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(STATUS_TIMEOUT).max_buf_size(DEFAULT_HEAD_BYTES);
+            builder.timer(TokioTimer::new()).header_read_timeout(STATUS_TIMEOUT).max_buf_size(HEADER_LIMIT);
             // Clients may close these connections at any time, so errors are ignored.
             tokio::select! {
                 _ = builder.serve_connection(TokioIo::new(stream), service) => {}
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -30,6 +30,12 @@
 /// server closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time within which a process must say which one it is.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Most bytes of the answer to that question.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
 /// Reason why a request has no complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeError {
@@ -53,6 +59,19 @@
     sender: http1::SendRequest<SendBody>,
     driver: JoinHandle<()>,
     budget: ReadBudget,
+    /// Start of the process at the other end, if it was asked for; it cannot change while the connection lives.
+    started_ms: Option<u64>,
+}
+
+/// Process that must be at the other end of a connection, and how to ask which one is.
+#[derive(Debug)]
+pub struct ExpectedStart {
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Request for what the process says of itself.
+    pub question: Request<SendBody>,
+    /// Decodes the start from the answer.
+    pub decode: fn(&[u8]) -> Option<u64>,
 }
 
 impl PooledConnection {
@@ -62,6 +81,16 @@
         self.address
     }
 
+    /// Asks the process at the other end for its start; `None` when it does not tell.
+    async fn ask_start(&mut self, question: Request<SendBody>, decode: fn(&[u8]) -> Option<u64>) -> Option<u64> {
+        self.sender.ready().await.ok()?;
+        self.budget.renew();
+        let response = self.sender.send_request(question).await.ok()?;
+        let (head, body) = self.take_head(response).into_parts();
+        let body = read_body(body, MAX_REPORT_BYTES).await.ok()?;
+        decode(&body).filter(|_| head.status.is_success())
+    }
+
     /// Renews the budget for the body of a response whose head has arrived.
     fn take_head(&self, response: Response<Incoming>) -> Response<BudgetedBody> {
         self.budget.renew();
@@ -182,6 +211,38 @@
         Ok(Exchange { response, connection, is_reused: false })
     }
 
+    /// Like [`Self::send`], on a connection to the expected process only; `None`, and nothing was sent, when another process is at
+    /// the other end, or does not say which one it is. A connection is asked once.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_to_start(
+        &self,
+        address: SocketAddr,
+        request: Request<SendBody>,
+        expected: ExpectedStart,
+    ) -> Result<Option<Exchange>, ExchangeError> {
+        let mut connection = match self.take_idle(address) {
+            Some(connection) => connection,
+            None => self.connect(address).await?,
+        };
+        if connection.started_ms.is_none() {
+            let asked =
+                tokio::time::timeout(QUESTION_TIMEOUT, connection.ask_start(expected.question, expected.decode));
+            connection.started_ms = asked.await.ok().flatten();
+        }
+        if connection.started_ms != Some(expected.started_ms) {
+            return Ok(None);
+        }
+        connection.sender.ready().await.map_err(|_| ExchangeError::NotConnected)?;
+        connection.budget.renew();
+        let response = connection.sender.send_request(request).await.map_err(|error| head_error(&error))?;
+        let response = connection.take_head(response);
+        // The connection has carried the question, if nothing else.
+        Ok(Some(Exchange { response, connection, is_reused: true }))
+    }
+
     /// Sends a request, reads the whole response and keeps the connection for the default idle time.
     ///
     /// Only connecting is limited in time, to the timeout of the pool.
@@ -230,7 +291,7 @@
             // A broken connection is reported as the error of the exchange that uses the connection.
             let _ = driver.await;
         });
-        Ok(PooledConnection { address, sender, driver, budget })
+        Ok(PooledConnection { address, sender, driver, budget, started_ms: None })
     }
 
     /// Keeps a connection for reuse; the last response on the connection must have been read to its end.
@@ -248,12 +309,29 @@
         }
     }
 
+    /// Whether the server has closed a connection that was idle for less than its timeout, as at the end of its process. Forgets
+    /// these connections.
+    #[must_use]
+    pub fn has_lost_idle(&self, address: SocketAddr) -> bool {
+        let now = boot_time();
+        let Ok(mut idle) = self.idle.lock() else { return false };
+        let is_lost = |entry: &IdleConnection| {
+            let connection = &entry.connection;
+            connection.address == address && entry.usable_until > now && connection.sender.is_closed()
+        };
+        let count = idle.len();
+        idle.retain(|entry| !is_lost(entry));
+        idle.len() < count
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
         let now = boot_time();
         let mut idle = self.idle.lock().ok()?;
-        idle.retain(|entry| entry.usable_until > now && !entry.connection.sender.is_closed());
+        // Closed ones stay until their timeout, for `has_lost_idle`.
+        idle.retain(|entry| entry.usable_until > now);
         // Reusing the most recently used connection lets surplus connections expire.
-        let position = idle.iter().rposition(|entry| entry.connection.address == address)?;
+        let is_usable = |connection: &PooledConnection| connection.address == address && !connection.sender.is_closed();
+        let position = idle.iter().rposition(|entry| is_usable(&entry.connection))?;
         Some(idle.remove(position).connection)
     }
 }
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -30,7 +30,7 @@
 use crate::relay::reply::{BodyError, ResponseBody, code_reply, whole_body};
 use crate::relay::stream_origins::StreamOrigin;
 use crate::relay::target_codec::{SendOptions, TargetHead, TargetRequest};
-use crate::relay::target_relay::{SendRule, record_unreachable, send_to_target};
+use crate::relay::target_relay::{SendRule, record_break, record_unreachable, send_to_target};
 use crate::relay::target_response::ResponseKind;
 use crate::relay::unanswered_attempt::UnansweredAttempt;
 use crate::traffic::crash_quarantine::fingerprint_with_body;
@@ -250,7 +250,8 @@
             }
             let has_silent_attempt = !running_attempts.is_empty();
             let prefers_peers = has_silent_attempt && context.links.is_doubtful();
-            let rule = SendRule { is_repeatable, prefers_peers };
+            let needs_software = relay.stream != StreamStart::NotResumable;
+            let rule = SendRule { is_repeatable, prefers_peers, needs_software };
             if !prefers_peers && !context.links.is_cut() {
                 last_direct = Some((target.clone(), boot_time()));
             }
@@ -493,6 +494,7 @@
                 buffer.extend_from_slice(data);
             }
             Some(Err(_)) => {
+                record_break(context, target);
                 record_target_failure(context, relay, target, ExchangeError::Broken);
                 let last_event = relay.last_event_before();
                 report_unanswered(context, relay.fingerprint(), target, sent_at, UnansweredEnd::Broken, last_event);
@@ -613,6 +615,7 @@
             Some((Ok(frame), streamed))
         }
         Ok(Some(Err(error))) => {
+            record_break(&streamed.context, &streamed.target);
             streamed.report_unanswered(UnansweredEnd::Broken);
             Some((Err(error.into()), streamed))
         }
--- a/src/relay/request_forward.rs
+++ b/src/relay/request_forward.rs
@@ -21,13 +21,16 @@
 use crate::relay::plain_relay::strip_connection_headers;
 use crate::relay::read_budget::BudgetedBody;
 use crate::relay::reply::{BodyError, ResponseBody};
-use crate::relay::target_relay::{TARGET_HEADER, send_directly};
+use crate::relay::target_relay::{SendRule, TARGET_HEADER, send_directly};
 use crate::relay::target_response::ResponseKind;
 use crate::row_store::store_relay::relay_error;
 
 /// Most requests of other hosts that a host has in flight; further ones are refused.
 const MAX_FORWARDED: usize = 256;
 
+/// How a request of another host is sent: once.
+const FORWARD_RULE: SendRule = SendRule { is_repeatable: false, prefers_peers: false, needs_software: false };
+
 /// Time within which the body of a request must arrive from another host.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -77,7 +80,7 @@
     }
     strip_connection_headers(&mut head.headers);
     let request = Request::from_parts(head, SendBody::from(received));
-    let exchange = match send_directly(context, pool, target, request, false).await {
+    let exchange = match send_directly(context, pool, target, request, FORWARD_RULE).await {
         Ok(exchange) => exchange,
         Err(error) => return relay_error(error),
     };
--- a/src/relay/target_codec.rs
+++ b/src/relay/target_codec.rs
@@ -78,6 +78,13 @@
     pub encode: fn(&TargetRequest, &SendOptions<'_>) -> Result<Request<SendBody>, http::Error>,
     /// Encodes a request that every target answers without running it.
     pub probe: fn() -> Result<Request<SendBody>, http::Error>,
+    /// Encodes a request for what a target says of itself, which needs no slot.
+    pub report: fn(&str) -> Result<Request<SendBody>, http::Error>,
+    /// Decodes the start of the process that answered [`Self::report`], as in [`TargetEntry::started_ms`]; `None` when the body is
+    /// no report or names none.
+    ///
+    /// [`TargetEntry::started_ms`]: crate::fleet::fleet_view::TargetEntry::started_ms
+    pub decode_report: fn(&[u8]) -> Option<u64>,
     /// Decodes the head of a response; what is missing or malformed counts as absent.
     pub decode: fn(&http::response::Parts) -> TargetHead,
     /// Parses a line of a stream event; `None` when the line names no weight version.
--- a/src/relay/target_relay.rs
+++ b/src/relay/target_relay.rs
@@ -14,7 +14,7 @@
 use crate::fleet::fleet_view::{FleetView, TargetEntry, TargetState};
 use crate::fleet::target_load::LoadTable;
 use crate::prelude::*;
-use crate::relay::connection_pool::{ConnectionPool, Exchange, ExchangeError, SendBody, read_body};
+use crate::relay::connection_pool::{ConnectionPool, Exchange, ExchangeError, ExpectedStart, SendBody, read_body};
 use crate::relay::target_links::TargetLinks;
 use crate::row_store::store_relay::read_relay_error;
 
@@ -107,11 +107,16 @@
     pub is_repeatable: bool,
     /// Whether peers come first, since an earlier attempt of the same request has no answer and the links are in doubt.
     pub prefers_peers: bool,
+    /// Whether the request belongs to an output that one version of the software must generate.
+    pub needs_software: bool,
 }
 
 impl SendRule {
-    /// Rule for requests that are sent again until they succeed, such as items.
-    pub const REPEATED: Self = Self { is_repeatable: true, prefers_peers: false };
+    /// Rule for requests that are sent again until they succeed, such as gradings.
+    pub const REPEATED: Self = Self { is_repeatable: true, prefers_peers: false, needs_software: false };
+
+    /// Rule for items, whose outputs go on at one version of the software.
+    pub const ITEM: Self = Self { needs_software: true, ..Self::REPEATED };
 }
 
 /// Sends a request to a target and waits for the head of the response.
@@ -132,8 +137,10 @@
             return sent;
         }
     }
-    let sent = send_directly(context, &context.pool, target, request.clone(), rule.is_repeatable).await;
-    if uses_peers || !matches!(sent, Err(ExchangeError::NotConnected)) {
+    let sent = send_directly(context, &context.pool, target, request.clone(), rule).await;
+    // A peer does not ask the target whether it has started again.
+    let must_ask = must_ask(context, &context.pool, target, rule);
+    if uses_peers || must_ask || !matches!(sent, Err(ExchangeError::NotConnected)) {
         return sent;
     }
     send_through_peers(context, target, request).await
@@ -145,10 +152,10 @@
     pool: &ConnectionPool,
     target: &TargetEntry,
     request: Request<SendBody>,
-    is_repeatable: bool,
+    rule: SendRule,
 ) -> Result<Exchange, ExchangeError> {
     let since = boot_time();
-    let mut sent = std::pin::pin!(pool.send(target.address, request));
+    let mut sent = std::pin::pin!(send_on_link(context, pool, target, request, rule));
     let mut is_silent = false;
     let result = loop {
         match tokio::time::timeout(SILENCE_LIMIT, sent.as_mut()).await {
@@ -157,16 +164,57 @@
                 is_silent = true;
                 record_unreachable(context, target, since, "silent");
             }
-            Err(_) if is_repeatable && context.links.is_cut_for_certain() => return Err(ExchangeError::Broken),
+            Err(_) if rule.is_repeatable && context.links.is_cut_for_certain() => return Err(ExchangeError::Broken),
             Err(_) => {}
         }
     };
     match &result {
+        Ok(None) => log::info!(target = target.id, started_ms:? = target.started_ms; "target_restarted"),
         Ok(_) | Err(ExchangeError::Malformed) => context.links.record_answer(),
-        Err(ExchangeError::NotConnected) => record_unreachable(context, target, since, "not_connected"),
-        Err(ExchangeError::Broken) => record_unreachable(context, target, since, "broken"),
+        Err(error) => {
+            record_break(context, target);
+            let reason = if *error == ExchangeError::Broken { "broken" } else { "not_connected" };
+            record_unreachable(context, target, since, reason);
+        }
+    }
+    result?.ok_or(ExchangeError::NotConnected)
+}
+
+/// Whether the target must say which start it is before the request is sent.
+fn must_ask(context: &HostContext, pool: &ConnectionPool, target: &TargetEntry, rule: SendRule) -> bool {
+    if !rule.needs_software {
+        return false;
+    }
+    if pool.has_lost_idle(target.address) {
+        record_break(context, target);
+    }
+    context.with_restarts(|restarts| restarts.is_in_doubt(&target.id))
+}
+
+/// Records that a connection to a target broke or could not be made, so that the target may have started again.
+pub fn record_break(context: &HostContext, target: &TargetEntry) {
+    context.with_restarts(|restarts| restarts.record_break(&target.id, boot_time()));
+}
+
+/// Sends a request to a target. One that needs the software of the entry reaches no later start of the target; `None` when that is
+/// the one that answers.
+async fn send_on_link(
+    context: &HostContext,
+    pool: &ConnectionPool,
+    target: &TargetEntry,
+    request: Request<SendBody>,
+    rule: SendRule,
+) -> Result<Option<Exchange>, ExchangeError> {
+    let must_ask = must_ask(context, pool, target, rule);
+    let codec = &context.target_codec;
+    match (target.started_ms.filter(|_| must_ask), (codec.report)(&target.id)) {
+        (Some(started_ms), Ok(question)) => {
+            context.with_loads(|loads| loads.record_arrival(&target.id, boot_time()));
+            let expected = ExpectedStart { started_ms, question, decode: codec.decode_report };
+            pool.send_to_start(target.address, request, expected).await
+        }
+        _ => pool.send(target.address, request).await.map(Some),
     }
-    result
 }
 
 /// Addresses of the hosts that pass requests on, those of `own_domain` first: live, not stopping, and with links to targets.
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -5,5 +5,6 @@
 mod feed_pace;
 mod limits;
 mod load;
+mod restarts;
 mod state;
 mod store_path;
--- a/tests/integration/jobs/item_http.rs
+++ b/tests/integration/jobs/item_http.rs
@@ -44,6 +44,8 @@
         Request::post(&request.path).header("host", "e").header("after", after).body(SendBody::default())
     },
     probe: || Request::get("/report").body(SendBody::default()),
+    report: |target| Request::get("/report").header("expect", target).body(SendBody::default()),
+    decode_report: |body| std::str::from_utf8(body).ok()?.parse().ok(),
     decode: |head| {
         let value = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
         TargetHead {
@@ -100,6 +102,7 @@
         leaving_targets: tokio::sync::watch::Sender::new(Vec::new()),
         links: camphorspring::relay::target_relay::LinkTable::default(),
         crashes: camphorspring::relay::crash_reports::CrashReports::default(),
+        restarts: Mutex::default(),
         stream_origins: StreamOrigins::default(),
         metrics: HostMetrics::new().expect("the names are valid"),
         target_codec: TARGET_CODEC,
--- a/tests/integration/relay.rs
+++ b/tests/integration/relay.rs
@@ -6,4 +6,5 @@
 mod events;
 mod links;
 mod odd_statuses;
+mod starts;
 mod streams;
