Try a peer for an output whose target breaks for the first time

A target whose connection could not be made counted as in doubt at once, so that streams and items did not go through a peer as before when the links of a host are cut. Whether the target is in doubt is asked before the request is sent.

--- a/src/relay/target_relay.rs
+++ b/src/relay/target_relay.rs
@@ -137,9 +137,9 @@
             return sent;
         }
     }
-    let sent = send_directly(context, &context.pool, target, request.clone(), rule).await;
     // A peer does not ask the target whether it has started again.
     let must_ask = must_ask(context, &context.pool, target, rule);
+    let sent = send_directly(context, &context.pool, target, request.clone(), rule).await;
     if uses_peers || must_ask || !matches!(sent, Err(ExchangeError::NotConnected)) {
         return sent;
     }
