--- a/src/entry/fleet_follower.rs
+++ b/src/entry/fleet_follower.rs
@@ -322,7 +322,7 @@
     limits(one) == limits(other)
 }
 
-/// Tells the watch of restarts which entries of targets were written anew.
+/// Tells the watch of restarts which entries of targets were written anew or removed.
 fn observe_restarts(context: &HostContext, event: &WatchEvent, decode: RowDecoder, now: BootTime) {
     let (WatchEvent::Loaded(rows) | WatchEvent::Changed(rows)) = event else { return };
     if context.with_restarts(|restarts| restarts.is_empty()) {
--- a/src/entry/request_entry.rs
+++ b/src/entry/request_entry.rs
@@ -204,6 +204,7 @@
                 Ok(Err(ReceiveError::Broken)) => Err(ResultCode::BadRequest),
                 // Not logged for each request, since there may be a crowd of them.
                 Ok(Err(ReceiveError::NoMemory)) => Ok(code_reply(ResultCode::HostBusy, Some(OTHER_HOST_RETRY_DELAY))),
+                // The time has passed; a received body was handled above.
                 Ok(Ok(_)) | Err(_) => Err(ResultCode::QueueTimeout),
             };
         }
--- a/src/jobs/job_encoder.rs
+++ b/src/jobs/job_encoder.rs
@@ -22,7 +22,7 @@
     ///
     /// [`JobSpec`]: crate::jobs::job_record::JobSpec
     pub rows: Vec<Vec<u8>>,
-    /// Memory that the host needs which runs the job, in bytes.
+    /// Memory that the host which runs the job needs for it, in bytes.
     pub run_bytes: usize,
     _lease: MemoryLease,
 }
--- a/src/jobs/job_runner.rs
+++ b/src/jobs/job_runner.rs
@@ -183,7 +183,7 @@
     outcome
 }
 
-/// Waits until there is memory for a job; `None` when its header has changed meanwhile.
+/// Waits until there is memory for a job; `None` when its header has changed meanwhile, and the job is to be looked at anew.
 async fn wait_for_memory(context: &Arc<HostContext>, header: &JobHeader, version: RowVersion) -> Option<KeptMemory> {
     let bytes = usize::try_from(header.run_bytes).unwrap_or(usize::MAX);
     let mut is_logged = false;
--- a/src/memory/lease_table.rs
+++ b/src/memory/lease_table.rs
@@ -1,4 +1,7 @@
-//! Leases of memory and connections, and the decision which one yields to another.
+//! Leases of memory and connections, and the decision which one yields to another, without I/O.
+//!
+//! Load handled: more bodies and connections than the machine holds, most of which stop short of their end. Refusing newcomers would
+//! let those that stopped keep all others out, so the one that wastes most memory for its time yields.
 
 use crate::prelude::*;
 
@@ -53,7 +56,8 @@
 }
 
 impl LeaseRecord {
-    /// Memory that the lease wastes, in bytes times milliseconds.
+    /// Memory that the lease wastes, in bytes times milliseconds. One millisecond is added, so that of leases with progress just now
+    /// the largest wastes most.
     fn waste(&self, now: BootTime) -> u128 {
         self.bytes as u128 * (now.saturating_sub(self.progress_at).as_millis() + 1)
     }
--- a/src/relay/plain_relay.rs
+++ b/src/relay/plain_relay.rs
@@ -477,7 +477,7 @@
         .is_some_and(|content_type| content_type.as_bytes().starts_with(b"text/event-stream"));
     let mut buffer = BytesMut::new();
     let lease = context.memory.lease_body();
-    // A lease that has yielded would grow no more.
+    // The target has run the request by now, so that what is buffered does not yield.
     let mut may_buffer = !is_stream && lease.settle();
     while may_buffer && buffer.len() <= MAX_BUFFERED_BYTES {
         match body.frame().await {
--- a/tests/crowds/crowd_host.rs
+++ b/tests/crowds/crowd_host.rs
@@ -37,13 +37,14 @@
 /// Largest body of a request to `serve`, in bytes.
 pub const GATEWAY_BODY_BYTES: usize = 1024 * 1024;
 
-/// Longest wait for a condition that a busy machine reaches too.
+/// Longest wait for a condition that a busy machine reaches too; only a host that hangs exceeds it.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(90);
 
-/// Time without a change of its memory after which a host has read what it reads.
-const QUIET_TIME: Duration = Duration::from_secs(2);
+/// Time without a change of its memory after which the bounds are checked beside the crowd. It bounds nothing: a host that reads on
+/// later is found by the check after the crowd, since the peak of the memory stays.
+const QUIET_PERIOD: Duration = Duration::from_secs(2);
 
-/// Timeout of one attempt of an ordinary request.
+/// Timeout of one attempt of an ordinary request, after which the caller tries again.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// Interval at which the target renews its entry in the store.
@@ -280,7 +281,7 @@
             if present != known {
                 (known, since) = (present, Instant::now());
             }
-            since.elapsed() >= QUIET_TIME
+            since.elapsed() >= QUIET_PERIOD
         });
     }
 
--- a/tests/crowds/senders.rs
+++ b/tests/crowds/senders.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-/// Time after which a client gives up a write that the host does not read, and stays connected.
+/// Time after which a client gives up a write that the host does not read, and stays connected. It ends the sending, not the test.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Most bytes that a client hands over in one write.
