--- a/review/cases-3/src/crash_in_the_dark.rs
+++ b/review/cases-3/src/crash_in_the_dark.rs
@@ -43,6 +43,9 @@
             "route_list": [{
                 "name": "draft", "host": CALLER_HOST, "path_prefix": "/draft/", "route_kind": "streaming", "service": "bench-llm",
                 "timeout_ms": 12000, "target_latency_ms": 400, "max_attempts": 1,
+            }, {
+                "name": "book", "host": CALLER_HOST, "path_prefix": "/book/", "route_kind": "non_idempotent", "service": "bench-llm",
+                "timeout_ms": 2000, "target_latency_ms": 400, "max_attempts": 1,
             }],
             "services": [{"name": "bench-llm"}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 33554432, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
@@ -53,6 +56,10 @@
     let known = Arc::clone(&crashes);
     let work: Work = Arc::new(move |engine: &Engine, request, connection, number| {
         let id = request.header("x-request-id").unwrap_or_default();
+        if request.path().starts_with("/book/") {
+            engine.answer_plain(request, connection, number, Duration::from_millis(150));
+            return;
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Request-Id: {id}\r\n\
              X-Server-Stamp: s-{id}\r\nX-Weight-Versions: 1\r\n\r\n"
@@ -119,6 +126,39 @@
             })
         })
         .collect();
+    // Requests that may run once, which end without an answer when their server loses its power.
+    let bookings: Vec<_> = addresses
+        .iter()
+        .cycle()
+        .take(HOSTS * 4)
+        .enumerate()
+        .map(|(number, address)| {
+            let address = *address;
+            std::thread::spawn(move || {
+                let (mut booked, mut lost) = (0, 0);
+                for request in 0.. {
+                    if started.elapsed() >= LENGTH {
+                        break;
+                    }
+                    let id = format!("book-{number}-{request}");
+                    let headers = [
+                        ("Host", CALLER_HOST),
+                        ("X-Request-Id", &id),
+                        ("X-Deadline-Ms", "2000"),
+                        ("Authorization", KEY),
+                    ];
+                    match http::send(address, "POST", "/book/x", &headers, b"x", PATIENCE).map(|answer| answer.status())
+                    {
+                        Some(200) => booked += 1,
+                        Some(429 | 503) => {}
+                        _ => lost += 1,
+                    }
+                    std::thread::sleep(Duration::from_millis(50));
+                }
+                (booked, lost)
+            })
+        })
+        .collect();
     let mut sent = 0;
     while started.elapsed() < LENGTH {
         let id = format!("crash-{sent}");
@@ -128,6 +168,8 @@
         std::thread::sleep(AGAIN);
     }
     let whole: usize = others.into_iter().map(|other| other.join().unwrap_or_default()).sum();
+    let bookings: Vec<(usize, usize)> = bookings.into_iter().map(|other| other.join().unwrap_or_default()).collect();
+    let (booked, lost) = bookings.iter().fold((0, 0), |(booked, lost), part| (booked + part.0, lost + part.1));
     drop(engines);
     let crashes = crashes.lock().unwrap().clone();
     let late = crashes
@@ -137,7 +179,9 @@
         "{sent} times sent, {} servers lost their power under it; {late} of them later than {CONTACT:?} after the third, allowed {ALLOWED}",
         crashes.len()
     ));
-    record.say(&format!("{whole} other streams ended whole"));
+    record.say(&format!(
+        "{whole} other streams ended whole; {booked} bookings were answered, {lost} that may have run ended without an answer"
+    ));
     if whole < 10 || (is_troubled && crashes.len() < 3) {
         return None;
     }
--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -12,6 +12,7 @@
 mod software_in_turn;
 mod software_through_peers;
 mod store;
+mod taken_up_and_broken;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,6 +32,7 @@
         "software-in-turn" => software_in_turn::run(&scratch, &record, is_troubled),
         "crash-after-events" => crash_after_events::run(&scratch, &record, is_troubled),
         "crash-in-the-dark" => crash_in_the_dark::run(&scratch, &record, is_troubled),
+        "taken-up-and-broken" => taken_up_and_broken::run(&scratch, &record, is_troubled),
         _ => None,
     };
     let code = match outcome {
